--- a/agatelane-cli/src/main/java/io/agatelane/cli/CommandLine.java
+++ b/agatelane-cli/src/main/java/io/agatelane/cli/CommandLine.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.node.cfg.FleetSettingsReader;
 import io.agatelane.node.cfg.Settings;
 import io.agatelane.node.cfg.SettingsReader;
 import java.io.IOException;
@@ -24,6 +25,7 @@
     private final RouterLauncher launcher;
     private final Options.Common top = new Options.Common();
     private final Options.Serve serve = new Options.Serve();
+    private final Options.Fleet fleet = new Options.Fleet();
     private final Options.Check check = new Options.Check();
     private final Options.Version version = new Options.Version();
     private final CtlCommands ctl = new CtlCommands();
@@ -38,6 +40,7 @@
                 .programName(PROGRAM)
                 .addObject(top)
                 .addCommand("serve", serve)
+                .addCommand("fleet", fleet)
                 .addCommand("check", check)
                 .addCommand("ctl", ctl.options())
                 .addCommand("version", version)
@@ -70,10 +73,11 @@
             return ExitCode.DONE;
         }
         if (command == null) {
-            throw new ParameterException("expected a command: serve, check, ctl or version");
+            throw new ParameterException("expected a command: serve, fleet, check, ctl or version");
         }
         JCommander commandParser = parser.getCommands().get(command);
-        Map<String, Options.Common> options = Map.of("serve", serve, "check", check, "version", version);
+        Map<String, Options.Common> options =
+                Map.of("serve", serve, "fleet", fleet, "check", check, "version", version);
         if (options.containsKey(command) && options.get(command).help) {
             usage(commandParser);
             return ExitCode.DONE;
@@ -83,6 +87,10 @@
                 launcher.run(SettingsReader.read(Path.of(serve.settings)));
                 yield ExitCode.DONE;
             }
+            case "fleet" -> {
+                FleetProcess.run(FleetSettingsReader.read(Path.of(fleet.settings)));
+                yield ExitCode.DONE;
+            }
             case "check" -> check();
             case "version" -> {
                 out.println(PROGRAM + " " + versionText());
@@ -93,6 +101,11 @@
     }
 
     private ExitCode check() {
+        if (check.fleet) {
+            out.println(check.settings + ": valid settings of VM "
+                    + FleetSettingsReader.read(Path.of(check.settings)).vmName());
+            return ExitCode.DONE;
+        }
         Settings settings = SettingsReader.read(Path.of(check.settings));
         out.println(check.settings + ": valid settings of VM " + settings.vmName());
         return ExitCode.DONE;
--- a/agatelane-cli/src/main/java/io/agatelane/cli/Options.java
+++ b/agatelane-cli/src/main/java/io/agatelane/cli/Options.java
@@ -21,10 +21,19 @@
         String settings;
     }
 
+    @Parameters(commandDescription = "Run a router of a deployment that its operator configures through the store")
+    static final class Fleet extends Common {
+        @Parameter(names = "--settings", required = true, description = "Settings file")
+        String settings;
+    }
+
     @Parameters(commandDescription = "Check a settings file and start nothing")
     static final class Check extends Common {
         @Parameter(names = "--settings", required = true, description = "Settings file")
         String settings;
+
+        @Parameter(names = "--fleet", description = "The file is for the command fleet")
+        boolean fleet;
     }
 
     @Parameters(commandDescription = "Show the version")
--- a/agatelane-cli/src/main/java/io/agatelane/cli/RouterProcess.java
+++ b/agatelane-cli/src/main/java/io/agatelane/cli/RouterProcess.java
@@ -31,17 +31,22 @@
         }
     }
 
+    /** Keeps the log open until the process ends. */
+    static void keepLogHandlers() {
+        LogManager manager = LogManager.getLogManager();
+        if (manager instanceof DrainingLogManager) {
+            ((DrainingLogManager) manager).keepHandlers();
+        }
+    }
+
     // An operator's own configuration file, named by the JDK's system property, goes before the built-in one.
     private static void configureLogging() {
         if (System.getProperty("java.util.logging.config.file") != null) {
             return;
         }
         try (InputStream in = RouterProcess.class.getResourceAsStream(LOGGING)) {
-            LogManager manager = LogManager.getLogManager();
-            manager.readConfiguration(in);
-            if (manager instanceof DrainingLogManager) {
-                ((DrainingLogManager) manager).keepHandlers();
-            }
+            LogManager.getLogManager().readConfiguration(in);
+            keepLogHandlers();
         } catch (IOException e) {
             throw new AgatelaneException(FailureType.INTERNAL, "the logging configuration cannot be read", e);
         }
--- /dev/null
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetConfig.java
@@ -0,0 +1,96 @@
+package io.agatelane.core.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the operator's configuration. */
+public final class FleetConfig {
+    private final long version;
+    private final Map<String, List<Route>> routesByHost = new HashMap<>();
+    private final Map<String, FleetService> services;
+    private final List<CacheStore> cacheStores;
+    private final Map<String, FleetAccount> accountsByKey;
+    private final boolean hasAccounts;
+    private final CallerLimits limits;
+
+    /**
+     * Builds the look-up tables.
+     *
+     * @param accountsByKey API key to account
+     * @param hasAccounts whether requests need a key at all
+     */
+    public FleetConfig(
+            long version,
+            List<Route> routes,
+            Map<String, FleetService> services,
+            List<CacheStore> cacheStores,
+            Map<String, FleetAccount> accountsByKey,
+            boolean hasAccounts,
+            CallerLimits limits) {
+        this.version = version;
+        this.services = Map.copyOf(services);
+        this.cacheStores = List.copyOf(cacheStores);
+        this.accountsByKey = Map.copyOf(accountsByKey);
+        this.hasAccounts = hasAccounts;
+        this.limits = limits;
+        for (Route route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host(), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<Route> longestFirst =
+                Comparator.comparingInt((Route route) -> route.pathPrefix().length());
+        routesByHost.values().forEach(list -> list.sort(longestFirst.reversed()));
+    }
+
+    public long version() {
+        return version;
+    }
+
+    /** The route of the host with the longest prefix of the path. */
+    public Optional<Route> route(String host, String path) {
+        List<Route> candidates = routesByHost.get(withoutPort(host).toLowerCase(Locale.ROOT));
+        if (candidates == null) {
+            return Optional.empty();
+        }
+        return candidates.stream()
+                .filter(route -> path.startsWith(route.pathPrefix()))
+                .findFirst();
+    }
+
+    public Optional<FleetService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** The first store of kept KV cache. */
+    public Optional<CacheStore> cacheStore() {
+        return cacheStores.stream().findFirst();
+    }
+
+    public Optional<FleetAccount> accountOf(String key) {
+        return Optional.ofNullable(accountsByKey.get(key));
+    }
+
+    /** Whether requests to routes that are not public need an API key. */
+    public boolean hasAccounts() {
+        return hasAccounts;
+    }
+
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    public int routeCount() {
+        return routesByHost.values().stream().mapToInt(List::size).sum();
+    }
+
+    private static String withoutPort(String host) {
+        int colon = host.lastIndexOf(':');
+        return colon > 0 && host.indexOf(']') < colon ? host.substring(0, colon) : host;
+    }
+}
--- /dev/null
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/Choice.java
@@ -0,0 +1,12 @@
+package io.agatelane.core.fleet.query;
+
+import java.util.Optional;
+
+/**
+ * Where a request goes.
+ *
+ * @param expectedMillis expected time to the first byte of the answer
+ * @param prefillMillis part of it that the upstream spends on reading the prompt
+ * @param cacheSource address of another engine that probably holds the shared parts; empty when the chosen one does
+ */
+public record Choice(Candidate candidate, double expectedMillis, double prefillMillis, Optional<String> cacheSource) {}
--- /dev/null
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/package-info.java
@@ -0,0 +1,2 @@
+/** Decisions about one request: where it goes, whether it is taken. They change nothing. */
+package io.agatelane.core.fleet.query;
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/FleetRead.java
@@ -0,0 +1,16 @@
+package io.agatelane.node.api;
+
+import io.agatelane.core.fleet.FleetView;
+import java.util.List;
+
+/**
+ * The result of one read of the store.
+ *
+ * @param view what the operator and the upstreams have written
+ * @param routerItems what the routers themselves have written
+ */
+public record FleetRead(FleetView view, List<KeyValue> routerItems) {
+    public FleetRead {
+        routerItems = List.copyOf(routerItems);
+    }
+}
--- a/agatelane-node/src/main/java/io/agatelane/node/api/KeyValueStore.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/KeyValueStore.java
@@ -1,47 +1,9 @@
 package io.agatelane.node.api;
 
-import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 
-/**
- * The platform's key-value service.
- *
- * <p>Futures fail with an {@code AgatelaneException}: {@code SWAP_LOST} when the expected revision is not the current
- * one, {@code PLATFORM_UNAVAILABLE} when nothing was done, {@code WRITE_OUTCOME_UNKNOWN} when a write may have taken
- * effect.
- */
-public interface KeyValueStore {
-    /** Reads one key. */
-    CompletableFuture<Optional<KeyValue>> get(String key);
-
-    /** Reads all keys with a prefix, in key order. */
-    CompletableFuture<List<KeyValue>> list(String prefix);
-
-    /**
-     * Writes a key if its revision is the expected one.
-     *
-     * @param expectedRevision 0 expects that the key does not exist
-     * @return the new revision
-     */
-    CompletableFuture<Long> compareAndSet(String key, long expectedRevision, byte[] value);
-
-    /** Writes a key that goes away when the lease ends. */
-    CompletableFuture<Long> compareAndSet(String key, long expectedRevision, byte[] value, long leaseId);
-
-    /** Deletes a key if its revision is the expected one. */
-    CompletableFuture<Void> compareAndDelete(String key, long expectedRevision);
-
-    /** Grants a lease and returns its identity. */
-    CompletableFuture<Long> grantLease(long ttlMillis);
-
-    /** Renews a lease and returns its remaining time in milliseconds; 0 when it has ended. */
-    CompletableFuture<Long> renewLease(long leaseId);
-
-    /** Ends a lease and deletes its keys. */
-    CompletableFuture<Void> revokeLease(long leaseId);
-
+/** The platform's key-value service with watches. */
+public interface KeyValueStore extends ConditionalStore {
     /**
      * Reports each write to a key, from now on, until cancelled. The implementation reconnects by itself and reports
      * the current value again after a reconnect, so that no write is missed for good.
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/PlatformAdapter.java
@@ -0,0 +1,16 @@
+package io.agatelane.node.api;
+
+import org.eclipse.jetty.client.HttpClient;
+
+/** Creates the ports of one kind of platform. */
+@FunctionalInterface
+public interface PlatformAdapter {
+    /**
+     * Creates the ports.
+     *
+     * @param client started client for calls to the store and to engines
+     * @param storeAddress IP:PORT
+     * @param timeoutMillis longest wait for one answer
+     */
+    FleetPorts open(HttpClient client, String storeAddress, long timeoutMillis);
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
@@ -0,0 +1,78 @@
+package io.agatelane.node.cfg;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.function.BiConsumer;
+
+/** Reads the settings file of a fleet router: JSON with comments and trailing commas. */
+public final class FleetSettingsReader {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final double MAX_SECONDS = 600;
+    private static final int MAX_MILLIS = 600_000;
+    // Poll and time-out together stay well under the two seconds in which a change has to be in force.
+    private static final int DEFAULT_POLL_MILLIS = 700;
+    private static final int DEFAULT_STORE_TIMEOUT_MILLIS = 900;
+    // Part of the time in which a revoked key may still be used that is left unused, for clock rates and scheduling.
+    private static final double REVOCATION_MARGIN_SECONDS = 0.5;
+    private static final double DEFAULT_REVOCATION_SECONDS = 5;
+    private static final double DEFAULT_GRACE_SECONDS = 8;
+    private static final double DEFAULT_LEASE_SECONDS = 3;
+    // Usual share of repeated sends that deployments allow.
+    private static final double DEFAULT_RETRY_RATIO = 0.2;
+    private static final int DEFAULT_RETRY_SLACK = 50;
+    private static final int MAX_RETRY_SLACK = 100_000;
+    private static final double DEFAULT_RETRY_WINDOW_SECONDS = 10;
+    // A round trip between the zones of today's deployments (6 to 11 ms) plus the price of the bytes.
+    private static final double DEFAULT_CROSS_ZONE_MILLIS = 15;
+    // The slower of today's engines reads 112 prompt tokens a millisecond; a share of it goes to other requests.
+    private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 100;
+    private static final double MAX_PREFILL_TOKENS_PER_MILLI = 100_000;
+
+    private FleetSettingsReader() {}
+
+    /**
+     * Reads a file.
+     *
+     * @throws SettingsException with all faults of the file
+     */
+    public static FleetSettings read(Path file) {
+        return SettingsReader.read(file, FleetSettingsReader::settings);
+    }
+
+    private static FleetSettings settings(JsonNode root, BiConsumer<String, String> faults) {
+        SettingsSection top = new SettingsSection(root, "", faults);
+        SettingsSection vm = top.section("vm");
+        SettingsSection listen = top.section("listen");
+        SettingsSection store = top.section("store");
+        SettingsSection bounds = top.section("bounds");
+        SettingsSection routing = top.section("routing");
+        InetSocketAddress storeAddress = store.address("address");
+        FleetSettings settings = new FleetSettings(
+                vm.name("name"),
+                vm.name("availabilityZone"),
+                listen.address("callerAddress"),
+                listen.address("readinessAddress"),
+                listen.address("metricsAddress"),
+                storeAddress == null ? "" : storeAddress.getAddress().getHostAddress() + ':' + storeAddress.getPort(),
+                store.integer("timeoutMillis", DEFAULT_STORE_TIMEOUT_MILLIS, 10, MAX_MILLIS),
+                store.integer("pollMillis", DEFAULT_POLL_MILLIS, 10, MAX_MILLIS),
+                millis(bounds, "revocationSeconds", DEFAULT_REVOCATION_SECONDS, REVOCATION_MARGIN_SECONDS),
+                millis(bounds, "graceSeconds", DEFAULT_GRACE_SECONDS, 0),
+                millis(bounds, "leaseSeconds", DEFAULT_LEASE_SECONDS, 0),
+                bounds.decimal("retryRatio", DEFAULT_RETRY_RATIO, 0, 1),
+                bounds.integer("retrySlack", DEFAULT_RETRY_SLACK, 0, MAX_RETRY_SLACK),
+                millis(bounds, "retryWindowSeconds", DEFAULT_RETRY_WINDOW_SECONDS, 0),
+                routing.decimal("crossZoneMillis", DEFAULT_CROSS_ZONE_MILLIS, 0, MAX_MILLIS),
+                routing.decimal(
+                        "prefillTokensPerMilli", DEFAULT_PREFILL_TOKENS_PER_MILLI, 1, MAX_PREFILL_TOKENS_PER_MILLI));
+        List.of(top, vm, listen, store, bounds, routing).forEach(SettingsSection::rejectUnknown);
+        return settings;
+    }
+
+    private static long millis(SettingsSection section, String field, double defaultSeconds, double lessSeconds) {
+        double seconds = section.decimal(field, defaultSeconds, 0, MAX_SECONDS);
+        return Math.round(Math.max(0, seconds - lessSeconds) * MILLIS_PER_SECOND);
+    }
+}
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/SettingsReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/SettingsReader.java
@@ -14,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
 
 /** Reads settings files: JSON with comments and trailing commas. */
 public final class SettingsReader {
@@ -37,12 +38,17 @@
      * @throws SettingsException with all faults of the file
      */
     public static Settings read(Path file) {
+        return read(file, SettingsReader::settings);
+    }
+
+    /** Reads a file with the given layout and reports all of its faults together. */
+    static <T> T read(Path file, BiFunction<JsonNode, BiConsumer<String, String>, T> layout) {
         List<SettingsFault> faults = new ArrayList<>();
         JsonNode root = parse(file, faults);
         if (!faults.isEmpty()) {
             throw new SettingsException(faults);
         }
-        Settings settings = settings(
+        T settings = layout.apply(
                 root, (pointer, expected) -> faults.add(new SettingsFault(file.toString(), pointer, expected)));
         if (!faults.isEmpty()) {
             throw new SettingsException(faults);
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/SettingsSection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/SettingsSection.java
@@ -131,6 +131,20 @@
         return value.asLong();
     }
 
+    /** A number with or without a fraction. */
+    double decimal(String field, double defaultValue, double min, double max) {
+        known.add(field);
+        JsonNode value = node.path(field);
+        if (value.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!value.isNumber() || value.asDouble() < min || value.asDouble() > max) {
+            fault(field, "expected a number from " + min + " to " + max + ", found " + describe(value));
+            return defaultValue;
+        }
+        return value.asDouble();
+    }
+
     void fault(String field, String expected) {
         faults.accept(pointer + "/" + field, expected);
     }
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetClients.java
@@ -0,0 +1,70 @@
+package io.agatelane.node.fleet;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import java.util.concurrent.Executor;
+import org.eclipse.jetty.client.DuplexConnectionPool;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.util.SocketAddressResolver;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/** Creates HTTP clients that add nothing to a request and repeat nothing. */
+final class FleetClients {
+    // A connection takes a round trip and about a millisecond; a lost opening packet comes again only after a second.
+    private static final long CONNECT_TIMEOUT_MILLIS = 400;
+    // Kept connections to the store are used several times a second.
+    private static final long IDLE_TIMEOUT_MILLIS = 10_000;
+    private static final int MAX_CONNECTIONS = 1_024;
+    private static final int ONCE = 1;
+
+    private FleetClients() {}
+
+    /** A client that opens a new connection for each request. */
+    static HttpClient forRequests(Executor executor, Scheduler scheduler) {
+        HttpClient client = create(executor, scheduler);
+        client.getTransport().setConnectionPoolFactory(destination -> {
+            DuplexConnectionPool pool = new DuplexConnectionPool(destination, MAX_CONNECTIONS);
+            pool.setMaxUsage(ONCE);
+            return pool;
+        });
+        return start(client);
+    }
+
+    /** A client that keeps its connections. */
+    static HttpClient forControl(Executor executor, Scheduler scheduler) {
+        return start(create(executor, scheduler));
+    }
+
+    private static HttpClient create(Executor executor, Scheduler scheduler) {
+        ClientConnector connector = new ClientConnector();
+        connector.setSelectors(1);
+        connector.setExecutor(executor);
+        connector.setScheduler(scheduler);
+        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        client.setExecutor(executor);
+        client.setScheduler(scheduler);
+        client.setSocketAddressResolver(new SocketAddressResolver.Sync());
+        client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
+        client.setIdleTimeout(IDLE_TIMEOUT_MILLIS);
+        client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+        client.setFollowRedirects(false);
+        client.setUserAgentField(null);
+        client.setDefaultRequestContentType(null);
+        client.setHttpCookieStore(new HttpCookieStore.Empty());
+        return client;
+    }
+
+    private static HttpClient start(HttpClient client) {
+        try {
+            client.start();
+        } catch (Exception e) {
+            throw new AgatelaneException(FailureType.INTERNAL, "the HTTP client did not start: " + e, e);
+        }
+        client.getProtocolHandlers().clear();
+        client.getContentDecoderFactories().clear();
+        return client;
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -0,0 +1,154 @@
+package io.agatelane.node.fleet;
+
+import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.query.ChoiceSettings;
+import io.agatelane.core.fleet.query.UpstreamChooser;
+import io.agatelane.node.api.FleetPorts;
+import io.agatelane.node.api.PlatformAdapter;
+import io.agatelane.node.cfg.FleetSettings;
+import io.agatelane.node.control.ControlThread;
+import io.agatelane.node.forward.ForwardContext;
+import io.agatelane.node.forward.ForwardHandler;
+import io.agatelane.node.io.http.MetricsHandler;
+import io.agatelane.node.util.EventLog;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+
+/** A fleet router: one process on an entry VM of a deployment that its operator configures through the store. */
+public final class FleetNode {
+    private static final EventLog LOG = EventLog.of(FleetNode.class);
+    // One core: selectors and acceptors take five threads, the rest serve requests without blocking.
+    private static final int MAX_THREADS = 16;
+    private static final int MIN_THREADS = 8;
+    // The load balancer takes a router out after two refused checks, a second apart; a third second is for its delay.
+    private static final long OUT_OF_ROTATION_MILLIS = 3_200;
+    // Part of the grace period that is left for ending the process.
+    private static final long EXIT_MILLIS = 900;
+    private static final long DRAIN_CHECK_MILLIS = 50;
+    // A record that was published is read by every router within a poll and an answer of the store.
+    private static final long ANNOUNCE_SLACK_MILLIS = 150;
+
+    private final FleetSettings settings;
+    private final ControlThread control;
+    private final FleetState state = new FleetState();
+    private final ForwardContext context;
+    private final ForwardHandler forward;
+    private final FleetServer server;
+    private final FleetFollower follower;
+    private final WeightsRollout rollout;
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private volatile boolean draining;
+
+    private FleetNode(FleetSettings settings, PlatformAdapter adapter) {
+        this.settings = settings;
+        control = new ControlThread(settings.vmName());
+        MetricRegistry metrics = new MetricRegistry();
+        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+        threads.setReservedThreads(0);
+        threads.setName("http");
+        threads.setDaemon(true);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("scheduler", true);
+        startQuietly(threads);
+        startQuietly(scheduler);
+        HttpClient controlClient = FleetClients.forControl(threads, scheduler);
+        FleetPorts ports = adapter.open(controlClient, settings.storeAddress(), settings.storeTimeoutMillis());
+        UpstreamChooser chooser = new UpstreamChooser(
+                new ChoiceSettings(settings.zone(), settings.crossZoneMillis(), settings.prefillTokensPerMilli()));
+        context = new ForwardContext(
+                settings, ports, state, chooser, FleetClients.forRequests(threads, scheduler), control, metrics);
+        forward = new ForwardHandler(context);
+        server = new FleetServer(
+                threads,
+                scheduler,
+                Map.of(
+                        settings.callerAddress(), forward,
+                        settings.readinessAddress(),
+                                new ReadinessHandler(ports.callers().readinessPath(), this::isReady),
+                        settings.metricsAddress(), new MetricsHandler(metrics)),
+                settings.callerAddress());
+        RandomGenerator random = RandomGenerator.getDefault();
+        follower = new FleetFollower(ports.source(), state, control, control, random, settings.pollMillis(), metrics);
+        RolloutDuty duty = new RolloutDuty(ports.store(), control, control, settings.vmName(), settings.leaseMillis());
+        rollout = new WeightsRollout(
+                state,
+                follower,
+                duty,
+                ports.engines(),
+                control,
+                control,
+                random,
+                settings.vmName(),
+                settings.pollMillis() + ANNOUNCE_SLACK_MILLIS,
+                metrics);
+    }
+
+    private static void startQuietly(org.eclipse.jetty.util.component.LifeCycle component) {
+        org.eclipse.jetty.util.component.LifeCycle.start(component);
+    }
+
+    /** Starts a router. */
+    public static FleetNode start(FleetSettings settings, PlatformAdapter adapter) {
+        FleetNode node = new FleetNode(settings, adapter);
+        node.follower.subscribe(node::applyLimits);
+        node.server.start();
+        node.follower.start();
+        node.rollout.start();
+        LOG.event("started")
+                .with("vm", settings.vmName())
+                .with("zone", settings.zone())
+                .with("callers", settings.callerAddress())
+                .with("store", settings.storeAddress())
+                .info();
+        return node;
+    }
+
+    private void applyLimits() {
+        state.knowledge().config().ifPresent(config -> server.apply(config.limits()));
+    }
+
+    private boolean isReady() {
+        FleetKnowledge known = state.knowledge();
+        return !draining && known.config().isPresent();
+    }
+
+    /** Leaves the load balancer's rotation, serves what was accepted, and stops within the grace period. */
+    public void shutDownGracefully() {
+        long begunMillis = control.monotonicMillis();
+        LOG.event("stopping")
+                .with("vm", settings.vmName())
+                .with("in_flight", forward.inFlight())
+                .info();
+        draining = true;
+        context.drain();
+        rollout.stop();
+        try {
+            while (!isDrained(control.monotonicMillis() - begunMillis)) {
+                TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        follower.close();
+        LOG.event("stopped")
+                .with("vm", settings.vmName())
+                .with("in_flight", forward.inFlight())
+                .with("after_ms", control.monotonicMillis() - begunMillis)
+                .info();
+        closed.countDown();
+    }
+
+    private boolean isDrained(long elapsedMillis) {
+        boolean outOfTime = elapsedMillis > settings.graceMillis() - EXIT_MILLIS;
+        return outOfTime || (elapsedMillis > OUT_OF_ROTATION_MILLIS && forward.inFlight() == 0);
+    }
+
+    /** Waits for the end of the shutdown. */
+    public void awaitClosed() throws InterruptedException {
+        closed.await();
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetServer.java
@@ -0,0 +1,121 @@
+package io.agatelane.node.fleet;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.CallerLimits;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import jdk.net.ExtendedSocketOptions;
+import org.eclipse.jetty.http.UriCompliance;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/** The HTTP server of a fleet router: callers, readiness and metrics, each on an address of its own. */
+final class FleetServer {
+    // Connections that a caller's side has lost without a word are found after about this time.
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 5;
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 2;
+    private static final int KEEP_ALIVE_PROBES = 2;
+    // Callers may reuse a connection up to four fifths of the limit; closing later than that never meets a request.
+    private static final double IDLE_FACTOR = 1.2;
+    private static final int BACKLOG = 512;
+    private static final int ONE_THREAD = 1;
+
+    private final Server server;
+    private final HttpConfiguration callerConfiguration = configuration();
+    private final ServerConnector callers;
+
+    FleetServer(
+            QueuedThreadPool threads,
+            Scheduler scheduler,
+            Map<InetSocketAddress, Handler> handlers,
+            InetSocketAddress callerAddress) {
+        server = new Server(threads, scheduler, null);
+        callers = connector(callerConfiguration, callerAddress);
+        server.addConnector(callers);
+        handlers.keySet().stream()
+                .filter(address -> !address.equals(callerAddress))
+                .forEach(address -> server.addConnector(connector(configuration(), address)));
+        server.setHandler(new ByPort(handlers));
+    }
+
+    private ServerConnector connector(HttpConfiguration configuration, InetSocketAddress address) {
+        ServerConnector connector =
+                new ServerConnector(server, ONE_THREAD, ONE_THREAD, new HttpConnectionFactory(configuration)) {
+                    @Override
+                    protected void configure(java.net.Socket socket) {
+                        super.configure(socket);
+                        keepAlive(socket);
+                    }
+                };
+        connector.setHost(address.getAddress().getHostAddress());
+        connector.setPort(address.getPort());
+        connector.setAcceptQueueSize(BACKLOG);
+        connector.setReuseAddress(true);
+        return connector;
+    }
+
+    private static HttpConfiguration configuration() {
+        HttpConfiguration configuration = new HttpConfiguration();
+        configuration.setSendServerVersion(false);
+        configuration.setSendDateHeader(false);
+        // The path is forwarded as it came; what it means is for the upstream to say.
+        configuration.setUriCompliance(UriCompliance.UNSAFE);
+        return configuration;
+    }
+
+    private static void keepAlive(java.net.Socket socket) {
+        try {
+            socket.setKeepAlive(true);
+            socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS);
+            socket.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, KEEP_ALIVE_INTERVAL_SECONDS);
+            socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, KEEP_ALIVE_PROBES);
+        } catch (java.io.IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+
+    /** Applies the operator's limits to new connections. */
+    void apply(CallerLimits limits) {
+        callerConfiguration.setRequestHeaderSize(limits.headerBytes());
+        callers.setIdleTimeout(Math.round(limits.idleTimeoutMillis() * IDLE_FACTOR));
+    }
+
+    void start() {
+        try {
+            server.start();
+        } catch (Exception e) {
+            throw new AgatelaneException(FailureType.INVALID_SETTINGS, "the HTTP server did not start: " + e, e);
+        }
+    }
+
+    void stop() {
+        try {
+            server.stop();
+        } catch (Exception e) {
+            throw new AgatelaneException(FailureType.INTERNAL, "the HTTP server did not stop: " + e, e);
+        }
+    }
+
+    private static final class ByPort extends Handler.Abstract.NonBlocking {
+        private final Map<InetSocketAddress, Handler> handlers;
+
+        private ByPort(Map<InetSocketAddress, Handler> handlers) {
+            this.handlers = Map.copyOf(handlers);
+        }
+
+        @Override
+        public boolean handle(Request request, Response response, Callback callback) throws Exception {
+            Handler handler = handlers.get(request.getConnectionMetaData().getLocalSocketAddress());
+            return handler != null && handler.handle(request, response, callback);
+        }
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -0,0 +1,78 @@
+package io.agatelane.node.fleet;
+
+import io.agatelane.core.fleet.ConfigProof;
+import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.FleetView;
+import io.agatelane.core.fleet.command.UpstreamLoad;
+import io.agatelane.core.fleet.query.Candidate;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.stream.Collectors;
+
+/** What a router knows and has seen. Written by the control thread, read by the threads that serve requests. */
+public final class FleetState {
+    private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
+    private final Map<String, Long> seenWeights = new ConcurrentHashMap<>();
+    private final Set<String> replaced = ConcurrentHashMap.newKeySet();
+    private volatile FleetKnowledge knowledge = new FleetKnowledge(FleetView.EMPTY, Optional.empty(), Map.of());
+
+    public FleetKnowledge knowledge() {
+        return knowledge;
+    }
+
+    /** Takes over what a read of the store has shown. */
+    public void update(FleetView view, ConfigProof proof, Map<String, Long> loadedWeights) {
+        knowledge = new FleetKnowledge(view, Optional.of(proof), loadedWeights);
+        Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
+        loads.keySet().retainAll(present);
+        seenWeights.keySet().retainAll(present);
+        replaced.retainAll(present);
+    }
+
+    /** The load of one start of an upstream. */
+    public UpstreamLoad load(FleetUpstream upstream) {
+        return loads.computeIfAbsent(upstream.key(), key -> new UpstreamLoad());
+    }
+
+    /** Records the version of weights that an answer was made with. */
+    public void sawWeights(FleetUpstream upstream, long version) {
+        seenWeights.merge(upstream.key(), version, Math::max);
+    }
+
+    /** Records that another upstream answers at this one's address. */
+    public void sawReplacement(FleetUpstream upstream) {
+        replaced.add(upstream.key());
+    }
+
+    /** Version of a model's weights that an upstream has, from its entry and from answers; 0 when it has none. */
+    public long weightsVersion(FleetKnowledge known, FleetUpstream upstream, String model) {
+        long stated = known.weightsVersion(upstream, model);
+        return stated == 0 ? 0 : Math.max(stated, seenWeights.getOrDefault(upstream.key(), 0L));
+    }
+
+    /**
+     * Upstreams that a request could go to.
+     *
+     * @param model empty for requests without a prompt
+     * @param excluded keys of upstreams that the request has been sent to
+     */
+    public List<Candidate> candidates(
+            FleetKnowledge known, String service, Optional<String> model, Set<String> excluded, long nowMillis) {
+        List<Candidate> all = known.usable(service).stream()
+                .filter(upstream -> !excluded.contains(upstream.key()) && !replaced.contains(upstream.key()))
+                .map(upstream -> new Candidate(
+                        upstream,
+                        load(upstream).estimate(nowMillis),
+                        model.map(name -> weightsVersion(known, upstream, name)).orElse(0L)))
+                .filter(candidate -> model.isEmpty() || candidate.weightsVersion() > 0)
+                .toList();
+        List<Candidate> inService = all.stream()
+                .filter(candidate ->
+                        !known.view().reserved().contains(candidate.upstream().id()))
+                .toList();
+        return inService.isEmpty() ? all : inService;
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutRecord.java
@@ -0,0 +1,66 @@
+package io.agatelane.node.fleet;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * What the holder of the roll-out tells the other routers through the store.
+ *
+ * @param holder VM that gives the orders
+ * @param reserved ids of upstreams that take no requests because they are about to load weights
+ * @param loadedWeights upstream key to the version that it has loaded
+ */
+public record RolloutRecord(String holder, Set<String> reserved, Map<String, Long> loadedWeights) {
+    /** Key of the record in the store. */
+    public static final String KEY = "agatelane/rollout";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    public RolloutRecord {
+        reserved = Set.copyOf(reserved);
+        loadedWeights = Map.copyOf(loadedWeights);
+    }
+
+    /** Encodes the record as JSON. */
+    public byte[] encode() {
+        ObjectNode node = MAPPER.createObjectNode().put("holder", holder);
+        reserved.forEach(node.putArray("reserved")::add);
+        ObjectNode loaded = node.putObject("loadedWeights");
+        loadedWeights.forEach(loaded::put);
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new AgatelaneException(FailureType.INTERNAL, "the roll-out record cannot be written", e);
+        }
+    }
+
+    /**
+     * Decodes a record.
+     *
+     * @throws AgatelaneException with {@code INVALID_OBJECT}
+     */
+    public static RolloutRecord decode(byte[] value) {
+        try {
+            JsonNode node = MAPPER.readTree(value);
+            Set<String> reserved = new HashSet<>();
+            node.path("reserved").forEach(id -> reserved.add(id.asText()));
+            Map<String, Long> loaded = new HashMap<>();
+            node.path("loadedWeights")
+                    .fields()
+                    .forEachRemaining(
+                            entry -> loaded.put(entry.getKey(), entry.getValue().asLong()));
+            return new RolloutRecord(node.path("holder").asText(), reserved, loaded);
+        } catch (IOException e) {
+            throw new AgatelaneException(FailureType.INVALID_OBJECT, "the roll-out record cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/Answers.java
@@ -0,0 +1,44 @@
+package io.agatelane.node.forward;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.node.api.CallerProtocol;
+import io.agatelane.node.io.http.ProblemDocuments;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Writes the router's own answers. */
+final class Answers {
+    private Answers() {}
+
+    /** Sends a failure as the whole answer. */
+    static void writeFailure(
+            ForwardContext context,
+            Response response,
+            Callback callback,
+            AgatelaneException failure,
+            String requestId) {
+        CallerProtocol protocol = context.ports().callers();
+        response.setStatus(protocol.status(failure));
+        response.getHeaders().put(HttpHeader.CONTENT_TYPE, ProblemDocuments.CONTENT_TYPE);
+        protocol.encodeFailure(failure, requestId, response.getHeaders());
+        if (failure.type() == FailureType.BODY_TOO_LARGE || failure.type() == FailureType.MALFORMED_REQUEST) {
+            // The body may not have been read to its end, so the connection cannot carry another request.
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+        }
+        closeWhenDraining(context, response);
+        byte[] body = ProblemDocuments.toJson(failure, requestId).getBytes(StandardCharsets.UTF_8);
+        response.write(true, ByteBuffer.wrap(body), callback);
+    }
+
+    /** Asks the caller to use another connection next time when this router is about to end. */
+    static void closeWhenDraining(ForwardContext context, Response response) {
+        if (context.isDraining()) {
+            response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
+        }
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -0,0 +1,453 @@
+package io.agatelane.node.forward;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.Executed;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.FleetAccount;
+import io.agatelane.core.fleet.FleetConfig;
+import io.agatelane.core.fleet.FleetService;
+import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.Prompt;
+import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.command.UpstreamLoad;
+import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.fleet.query.Choice;
+import io.agatelane.core.fleet.query.EventFramer;
+import io.agatelane.node.api.CallerRequest;
+import io.agatelane.node.api.Subscription;
+import io.agatelane.node.api.UpstreamAnswer;
+import io.agatelane.node.api.UpstreamCall;
+import io.agatelane.node.fleet.FleetKnowledge;
+import java.nio.ByteBuffer;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpMethod;
+import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/**
+ * One request on its way: chosen upstreams, sends, answer.
+ *
+ * <p>All state is guarded by the call's monitor. A request that was sent is never refused as "not run" unless each
+ * upstream has said so.
+ */
+final class ForwardCall implements Send.Listener {
+    // Connects that fail cost nothing, but a fleet that is down must not be tried through.
+    private static final int MAX_UNSENT = 3;
+    // Shortest time that is worth a send: a round trip between zones and the fastest answer.
+    private static final long MIN_SEND_MILLIS = 15;
+    // Callers of a busy service come back after this time at least; a queue moves by some requests meanwhile.
+    private static final long BUSY_RETRY_MILLIS = 150;
+    // An outdated proof is renewed by the next read of the store.
+    private static final long STALE_RETRY_MILLIS = 500;
+    private static final int MAX_PRIORITY = 9;
+    // Shorter shared parts are read again faster than they are copied.
+    private static final int MIN_CACHED_TOKENS = 500;
+    // Run time of a plain call before any was seen.
+    private static final double CALL_MILLIS = 40;
+
+    private final ForwardContext context;
+    private final Request request;
+    private final Response response;
+    private final Callback callback;
+    private final CallerRequest caller;
+    private final Route route;
+    private final Optional<FleetAccount> account;
+    private final byte[] body;
+    private final long arrivedMillis;
+    private final long deadlineMillis;
+    private final String service;
+    private final Set<String> tried = new HashSet<>();
+    private final EventFramer framer;
+
+    private CallerWatch watch;
+    private Subscription deadlineTimer;
+    private Send current;
+    private int sends;
+    private int unsent;
+    private boolean mayHaveRun;
+    private boolean committed;
+    private boolean done;
+    private int status;
+    private long firstByteMillis = -1;
+    private HttpFields head;
+
+    ForwardCall(
+            ForwardContext context,
+            Request request,
+            Response response,
+            Callback callback,
+            CallerRequest caller,
+            Route route,
+            Optional<FleetAccount> account,
+            byte[] body,
+            long arrivedMillis) {
+        this.context = context;
+        this.request = request;
+        this.response = response;
+        this.callback = callback;
+        this.caller = caller;
+        this.route = route;
+        this.account = account;
+        this.body = body;
+        this.arrivedMillis = arrivedMillis;
+        long callerMillis = caller.deadlineMillis().orElse(route.timeoutMillis());
+        long allowedMillis = route.timeoutMillis() > 0 ? Math.min(callerMillis, route.timeoutMillis()) : callerMillis;
+        this.deadlineMillis = arrivedMillis + allowedMillis;
+        this.service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
+        this.framer = route.resumable() ? new EventFramer() : null;
+    }
+
+    /** Sends the request for the first time. */
+    synchronized void start() {
+        long now = context.timers().monotonicMillis();
+        context.budget(service).recordRequest(now);
+        watch = CallerWatch.start(request, this::onCallerGone);
+        deadlineTimer = context.timers().after(Math.max(0, deadlineMillis - now), this::onDeadline);
+        dispatch();
+    }
+
+    private void dispatch() {
+        try {
+            long now = context.timers().monotonicMillis();
+            long leftMillis = deadlineMillis - now;
+            if (leftMillis < MIN_SEND_MILLIS) {
+                throw new AgatelaneException(FailureType.OVERLOADED, "no time is left for another send");
+            }
+            FleetKnowledge known = context.state().knowledge();
+            checkProof(known);
+            Choice choice = choose(known, now, leftMillis);
+            send(known, choice, leftMillis);
+        } catch (AgatelaneException e) {
+            fail(mayHaveRun ? e.withExecuted(Executed.UNKNOWN) : e);
+        }
+    }
+
+    private void checkProof(FleetKnowledge known) {
+        if (account.isEmpty()) {
+            return;
+        }
+        long age = known.proof()
+                .map(proof -> proof.ageMillis(
+                        context.timers().monotonicMillis(), context.timers().epochMillis()))
+                .orElse(Long.MAX_VALUE);
+        if (age > context.settings().maxProofMillis()) {
+            throw new AgatelaneException(
+                            FailureType.PLATFORM_UNAVAILABLE,
+                            "the key cannot be checked: the configuration was last read " + age + " ms ago")
+                    .withRetryAfterMillis(STALE_RETRY_MILLIS);
+        }
+    }
+
+    private Choice choose(FleetKnowledge known, long now, long leftMillis) {
+        Optional<Prompt> prompt = caller.prompt();
+        List<Candidate> candidates = context.state().candidates(known, service, prompt.map(Prompt::model), tried, now);
+        Optional<FleetService> target = known.config().flatMap(config -> config.service(service));
+        Optional<Choice> choice =
+                prompt.isPresent() && target.flatMap(FleetService::engine).isPresent()
+                        ? context.chooser()
+                                .chooseForPrompt(
+                                        candidates,
+                                        prompt.get(),
+                                        target.get().engine().get(),
+                                        known.newestWeights(prompt.get().model()))
+                        : context.chooser().chooseForCall(candidates, CALL_MILLIS);
+        if (choice.isEmpty()) {
+            throw new AgatelaneException(FailureType.NO_UPSTREAM, "no upstream of " + service + " takes work")
+                    .withRetryAfterMillis(BUSY_RETRY_MILLIS);
+        }
+        double expected = choice.get().expectedMillis();
+        if (expected > leftMillis) {
+            long later = Math.max(BUSY_RETRY_MILLIS, Math.round(expected - leftMillis));
+            throw new AgatelaneException(
+                            FailureType.OVERLOADED,
+                            "the answer would take " + Math.round(expected) + " ms of " + leftMillis)
+                    .withRetryAfterMillis(later);
+        }
+        return choice.get();
+    }
+
+    private void send(FleetKnowledge known, Choice choice, long leftMillis) {
+        tried.add(choice.candidate().upstream().key());
+        HttpFields.Mutable headers = HttpFields.build();
+        context.ports().upstreams().encode(request.getHeaders(), upstreamCall(known, choice, leftMillis), headers);
+        boolean hasBody =
+                body.length > 0 || HttpMethod.POST.is(request.getMethod()) || HttpMethod.PUT.is(request.getMethod());
+        Send send = new Send(context, choice, sends + 1, this);
+        current = send;
+        CallLog.sent(context, caller.id(), send.number(), choice, known);
+        send.start(request.getMethod(), request.getHttpURI().getPathQuery(), headers, body, hasBody);
+    }
+
+    private UpstreamCall upstreamCall(FleetKnowledge known, Choice choice, long leftMillis) {
+        FleetUpstream upstream = choice.candidate().upstream();
+        long version = choice.candidate().weightsVersion();
+        boolean isPrompt = version > 0;
+        Optional<String> salt = isPrompt ? Optional.of(salt(version)) : Optional.empty();
+        int priority = account.map(FleetAccount::priority)
+                .filter(OptionalInt::isPresent)
+                .map(OptionalInt::getAsInt)
+                .orElse(route.priority());
+        return new UpstreamCall(
+                upstream.id(),
+                account.map(FleetAccount::name),
+                leftMillis,
+                isPrompt ? OptionalInt.of(Math.min(MAX_PRIORITY, priority)) : OptionalInt.empty(),
+                isPrompt ? OptionalLong.of(version) : OptionalLong.empty(),
+                salt,
+                isPrompt ? cacheSource(known, choice) : Optional.empty(),
+                isPrompt ? cacheStore(known, salt.get()) : Optional.empty(),
+                framer == null ? Optional.empty() : framer.lastEventId());
+    }
+
+    // Cached parts of other weights, or of an isolated account, have another name and are never found.
+    private String salt(long version) {
+        return account.filter(FleetAccount::isolated)
+                .map(isolated -> version + "/" + isolated.name())
+                .orElse(Long.toString(version));
+    }
+
+    private Optional<String> cacheSource(FleetKnowledge known, Choice choice) {
+        if (caller.prompt().isEmpty() || caller.prompt().get().sharedTokens() < MIN_CACHED_TOKENS) {
+            return Optional.empty();
+        }
+        return choice.cacheSource().or(() -> storeAddress(known));
+    }
+
+    private Optional<String> cacheStore(FleetKnowledge known, String salt) {
+        Prompt prompt = caller.prompt().orElseThrow();
+        if (prompt.sharedTokens() < MIN_CACHED_TOKENS) {
+            return Optional.empty();
+        }
+        boolean isNew = context.savedParts()
+                .add(salt + '/' + prompt.sharedPrefixId(), context.timers().monotonicMillis());
+        return isNew ? storeAddress(known) : Optional.empty();
+    }
+
+    private static Optional<String> storeAddress(FleetKnowledge known) {
+        return known.config().flatMap(FleetConfig::cacheStore).map(store -> store.address());
+    }
+
+    @Override
+    public synchronized boolean onHead(Send send, int newStatus, HttpFields headers, UpstreamAnswer answer) {
+        if (done || send != current) {
+            return false;
+        }
+        UpstreamLoad load = context.state().load(send.upstream());
+        long now = context.timers().monotonicMillis();
+        Optional<String> unusable = unusable(newStatus, answer);
+        if (answer.notExecuted()) {
+            noteRefusal(send, answer);
+            sends++;
+            next(send, "not_run", "status " + newStatus);
+            return false;
+        }
+        mayHaveRun = true;
+        if (unusable.isPresent()) {
+            load.failed(now);
+            sends++;
+            next(send, "unusable", unusable.get());
+            return false;
+        }
+        boolean failed = newStatus >= HttpStatus.INTERNAL_SERVER_ERROR_500;
+        if (failed && !committed && deadlineMillis - now > MIN_SEND_MILLIS && mayRepeat(sends + 1, now)) {
+            sends++;
+            sendAgain(send, "upstream_error", "status " + newStatus);
+            return false;
+        }
+        if (!failed) {
+            load.succeeded(now);
+            answer.weightsVersion().ifPresent(version -> context.state().sawWeights(send.upstream(), version));
+        }
+        if (!committed) {
+            status = newStatus;
+            head = headers;
+        }
+        return true;
+    }
+
+    private void noteRefusal(Send send, UpstreamAnswer answer) {
+        boolean otherUpstream = answer.upstreamId()
+                .filter(id -> !id.equals(send.upstream().id()))
+                .isPresent();
+        if (answer.refusedExpectation() && otherUpstream) {
+            context.state().sawReplacement(send.upstream());
+        } else if (answer.refusedExpectation() && caller.prompt().isPresent()) {
+            // The weights differ from the entry: most likely the newest ones were loaded since it was written.
+            long newest = context.state()
+                    .knowledge()
+                    .newestWeights(caller.prompt().get().model());
+            context.state().sawWeights(send.upstream(), answer.weightsVersion().orElse(newest));
+        } else {
+            context.state().load(send.upstream()).failed(context.timers().monotonicMillis());
+        }
+    }
+
+    private Optional<String> unusable(int newStatus, UpstreamAnswer answer) {
+        boolean otherRequest =
+                answer.requestId().filter(id -> !id.equals(caller.id())).isPresent();
+        if (otherRequest) {
+            return Optional.of(
+                    "the answer belongs to request " + answer.requestId().get());
+        }
+        if (!answer.signed()) {
+            return Optional.of("the answer is not signed, status " + newStatus);
+        }
+        if (answer.encoded()) {
+            return Optional.of("the body was transformed");
+        }
+        return Optional.empty();
+    }
+
+    private boolean mayRepeat(int sendsSoFar, long now) {
+        return sendsSoFar < route.maxUpstreams()
+                && (!mayHaveRun || route.mayRunAgain())
+                && (!committed || (framer != null && framer.lastEventId().isPresent()))
+                && context.budget(service).tryTake(now);
+    }
+
+    @Override
+    public synchronized void onBody(Send send, byte[] bytes, Runnable more) {
+        if (done || send != current) {
+            return;
+        }
+        byte[] ready = framer == null ? bytes : framer.append(bytes);
+        if (ready.length == 0) {
+            more.run();
+            return;
+        }
+        commit();
+        response.write(false, ByteBuffer.wrap(ready), Callback.from(more, failure -> onCallerGone()));
+    }
+
+    private void commit() {
+        if (committed) {
+            return;
+        }
+        committed = true;
+        firstByteMillis = context.timers().monotonicMillis() - arrivedMillis;
+        response.setStatus(status);
+        context.ports().upstreams().relay(head, response.getHeaders());
+        Answers.closeWhenDraining(context, response);
+    }
+
+    @Override
+    public synchronized void onComplete(Send send) {
+        if (done || send != current) {
+            return;
+        }
+        sends++;
+        commit();
+        byte[] rest = framer == null ? new byte[0] : framer.rest();
+        finish("answered");
+        response.write(true, ByteBuffer.wrap(rest), callback);
+    }
+
+    @Override
+    public synchronized void onFailure(Send send, Throwable failure) {
+        if (done || send != current) {
+            return;
+        }
+        context.state().load(send.upstream()).failed(context.timers().monotonicMillis());
+        if (!send.maySent()) {
+            unsent++;
+            CallLog.sendEnded(caller.id(), send.number(), send.upstream().key(), "not_sent", failure.toString());
+            if (unsent <= MAX_UNSENT) {
+                dispatch();
+            } else {
+                fail(refusal("no connection to an upstream of " + service));
+            }
+            return;
+        }
+        mayHaveRun = true;
+        sends++;
+        next(send, "broken", failure.toString());
+    }
+
+    // The send has ended without a usable answer: send again where that is allowed, otherwise say what is known.
+    private void next(Send send, String outcome, String detail) {
+        if (mayRepeat(sends, context.timers().monotonicMillis())) {
+            sendAgain(send, outcome, detail);
+            return;
+        }
+        CallLog.sendEnded(caller.id(), send.number(), send.upstream().key(), outcome, detail);
+        if (mayHaveRun) {
+            fail(new AgatelaneException(FailureType.UPSTREAM_FAILED, "the upstream failed: " + detail));
+        } else {
+            fail(refusal("the upstream refused the request: " + detail));
+        }
+    }
+
+    private void sendAgain(Send send, String outcome, String detail) {
+        CallLog.sendEnded(caller.id(), send.number(), send.upstream().key(), outcome, detail);
+        current = null;
+        if (framer != null) {
+            framer.dropPartialEvent();
+        }
+        dispatch();
+    }
+
+    private static AgatelaneException refusal(String detail) {
+        return new AgatelaneException(FailureType.OVERLOADED, detail).withRetryAfterMillis(BUSY_RETRY_MILLIS);
+    }
+
+    private synchronized void onDeadline() {
+        if (done) {
+            return;
+        }
+        fail(new AgatelaneException(FailureType.UPSTREAM_TIMEOUT, "the time of the request is over"));
+    }
+
+    private synchronized void onCallerGone() {
+        if (done) {
+            return;
+        }
+        finish("caller_gone");
+        abortCurrent();
+        callback.failed(new AgatelaneException(FailureType.UPSTREAM_FAILED, "the caller closed its connection"));
+    }
+
+    private void fail(AgatelaneException failure) {
+        boolean wasCommitted = committed;
+        if (!wasCommitted) {
+            status = context.ports().callers().status(failure);
+        }
+        finish(wasCommitted ? "cut" : failure.type().code().replace('-', '_'));
+        abortCurrent();
+        if (wasCommitted) {
+            // The answer must not look complete, so its connection is closed in the middle of it.
+            callback.failed(failure);
+        } else {
+            Answers.writeFailure(context, response, callback, failure, caller.id());
+        }
+    }
+
+    private void abortCurrent() {
+        if (current != null) {
+            current.abort(new AgatelaneException(FailureType.UPSTREAM_FAILED, "the request has ended"));
+        }
+    }
+
+    private void finish(String outcome) {
+        done = true;
+        watch.stop();
+        deadlineTimer.cancel();
+        CallLog.ended(
+                context,
+                caller.id(),
+                route,
+                status,
+                outcome,
+                sends,
+                firstByteMillis,
+                context.timers().monotonicMillis() - arrivedMillis);
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -0,0 +1,105 @@
+package io.agatelane.node.forward;
+
+import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.command.RecentParts;
+import io.agatelane.core.fleet.command.WindowedRetryBudget;
+import io.agatelane.core.fleet.query.UpstreamChooser;
+import io.agatelane.node.api.FleetPorts;
+import io.agatelane.node.api.TimerService;
+import io.agatelane.node.cfg.FleetSettings;
+import io.agatelane.node.fleet.FleetState;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.eclipse.jetty.client.HttpClient;
+
+/** What all requests of a router share. */
+public final class ForwardContext {
+    // All routers together may use the slack; a router does not know how many live, so each takes a fixed small part.
+    private static final int ROUTERS_SHARING_SLACK = 20;
+    // Part of the ratio that is used, so that requests that the judge of the budget does not count cannot break it.
+    private static final double USED_RATIO = 0.7;
+    // A part that a store has dropped since is saved again after this time; the store turns over in about a minute.
+    private static final long SAVED_MEMORY_MILLIS = 15_000;
+    private static final int SAVED_CAPACITY = 10_000;
+
+    private final FleetSettings settings;
+    private final FleetPorts ports;
+    private final FleetState state;
+    private final UpstreamChooser chooser;
+    private final HttpClient client;
+    private final TimerService timers;
+    private final MetricRegistry metrics;
+    private final RecentParts savedParts = new RecentParts(SAVED_MEMORY_MILLIS, SAVED_CAPACITY);
+    private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
+    private volatile boolean draining;
+
+    /** Creates the shared state of a router. */
+    public ForwardContext(
+            FleetSettings settings,
+            FleetPorts ports,
+            FleetState state,
+            UpstreamChooser chooser,
+            HttpClient client,
+            TimerService timers,
+            MetricRegistry metrics) {
+        this.settings = settings;
+        this.ports = ports;
+        this.state = state;
+        this.chooser = chooser;
+        this.client = client;
+        this.timers = timers;
+        this.metrics = metrics;
+    }
+
+    FleetSettings settings() {
+        return settings;
+    }
+
+    FleetPorts ports() {
+        return ports;
+    }
+
+    FleetState state() {
+        return state;
+    }
+
+    UpstreamChooser chooser() {
+        return chooser;
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    TimerService timers() {
+        return timers;
+    }
+
+    MetricRegistry metrics() {
+        return metrics;
+    }
+
+    RecentParts savedParts() {
+        return savedParts;
+    }
+
+    /** Budget of repeated sends to a service. */
+    WindowedRetryBudget budget(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                name -> new WindowedRetryBudget(
+                        settings.retryRatio() * USED_RATIO,
+                        settings.retrySlack() / ROUTERS_SHARING_SLACK,
+                        settings.retryWindowMillis()));
+    }
+
+    /** Whether the process is about to end: answers then close their connections. */
+    boolean isDraining() {
+        return draining;
+    }
+
+    /** Begins the shutdown. */
+    public void drain() {
+        draining = true;
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
@@ -0,0 +1,97 @@
+package io.agatelane.node.forward;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.FleetAccount;
+import io.agatelane.core.fleet.FleetConfig;
+import io.agatelane.core.fleet.Route;
+import io.agatelane.node.api.CallerRequest;
+import io.agatelane.node.fleet.FleetKnowledge;
+import io.agatelane.node.io.http.BodyReader;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.Request;
+import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.util.Callback;
+
+/** Takes callers' requests, checks them against the configuration and starts to forward them. */
+public final class ForwardHandler extends Handler.Abstract.NonBlocking {
+    private static final String UNKNOWN_ID = "none";
+    // Body limit while no configuration is known.
+    private static final int DEFAULT_BODY_BYTES = 4 << 20;
+    // A router without a configuration reads the store several times a second.
+    private static final long NO_CONFIG_RETRY_MILLIS = 300;
+
+    private final ForwardContext context;
+    private final AtomicInteger inFlight = new AtomicInteger();
+
+    public ForwardHandler(ForwardContext context) {
+        this.context = context;
+    }
+
+    /** Requests that have no complete answer yet. */
+    public int inFlight() {
+        return inFlight.get();
+    }
+
+    @Override
+    public boolean handle(Request request, Response response, Callback callback) {
+        long arrivedMillis = context.timers().monotonicMillis();
+        inFlight.incrementAndGet();
+        Callback counted = Callback.from(callback, inFlight::decrementAndGet);
+        int maxBytes = context.state()
+                .knowledge()
+                .config()
+                .map(config -> config.limits().bodyBytes())
+                .orElse(DEFAULT_BODY_BYTES);
+        var unused = BodyReader.read(request, maxBytes).handle((body, thrown) -> {
+            if (thrown == null) {
+                begin(request, response, counted, body, arrivedMillis);
+            } else {
+                refuse(request, response, counted, AgatelaneException.from(thrown));
+            }
+            return null;
+        });
+        return true;
+    }
+
+    private void begin(Request request, Response response, Callback callback, byte[] body, long arrivedMillis) {
+        try {
+            CallerRequest caller = context.ports().callers().decode(request.getHeaders());
+            FleetKnowledge known = context.state().knowledge();
+            FleetConfig config = known.config().orElseThrow(() -> new AgatelaneException(
+                            FailureType.PLATFORM_UNAVAILABLE, "no configuration is known yet")
+                    .withRetryAfterMillis(NO_CONFIG_RETRY_MILLIS));
+            Route route = route(config, request);
+            Optional<FleetAccount> account = account(config, route, caller);
+            new ForwardCall(context, request, response, callback, caller, route, account, body, arrivedMillis).start();
+        } catch (AgatelaneException e) {
+            refuse(request, response, callback, e);
+        }
+    }
+
+    private static Route route(FleetConfig config, Request request) {
+        String host =
+                Optional.ofNullable(request.getHeaders().get(HttpHeader.HOST)).orElse("");
+        String path = Optional.ofNullable(request.getHttpURI().getPath()).orElse("/");
+        return config.route(host, path)
+                .orElseThrow(
+                        () -> new AgatelaneException(FailureType.NOT_FOUND, "no route matches " + host + " " + path));
+    }
+
+    private static Optional<FleetAccount> account(FleetConfig config, Route route, CallerRequest caller) {
+        Optional<FleetAccount> account = caller.apiKey().flatMap(config::accountOf);
+        if (account.isEmpty() && config.hasAccounts() && !route.isPublic()) {
+            throw new AgatelaneException(FailureType.UNAUTHENTICATED, "the API key is missing or unknown");
+        }
+        return account;
+    }
+
+    private void refuse(Request request, Response response, Callback callback, AgatelaneException failure) {
+        String id = context.ports().callers().requestId(request.getHeaders()).orElse(UNKNOWN_ID);
+        Answers.writeFailure(context, response, callback, failure, id);
+        CallLog.refused(context, request, id, failure);
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Forwards requests of any method, path and body to upstreams. */
+package io.agatelane.node.forward;
