--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -62,7 +62,7 @@
         private long publishedMillis = -1;
         private long askAtMillis;
         private boolean asking;
-        private boolean ordered;
+        private boolean mayLoad;
 
         private Task(FleetUpstream upstream, long startedMillis) {
             this.upstream = upstream;
@@ -128,10 +128,9 @@
         duty.published().ifPresent(this::markPublished);
         int concurrent = concurrentLoads(view);
         for (Task task : List.copyOf(tasks.values())) {
-            long ordered =
-                    tasks.values().stream().filter(other -> other.ordered).count();
-            if (task.ordered || ordered < concurrent) {
-                advance(task, view);
+            long loading = tasks.values().stream().filter(other -> other.mayLoad).count();
+            if (task.mayLoad || loading < concurrent) {
+                advance(task);
             }
         }
     }
@@ -223,12 +222,13 @@
         return (int) Math.max(MIN_CONCURRENT, Math.floor(engines * CONCURRENT_SHARE));
     }
 
-    private void advance(Task task, FleetView view) {
+    private void advance(Task task) {
         long now = timers.monotonicMillis();
         boolean announced = task.publishedMillis >= 0 && now - task.publishedMillis >= announceMillis;
         if (!announced || task.asking || now < task.askAtMillis) {
             return;
         }
+        task.mayLoad = true;
         task.asking = true;
         Futures.whenDone(engines.status(task.upstream), control, (status, failure) -> {
             task.asking = false;
@@ -254,8 +254,9 @@
                 .filter(entry -> entry.getValue() < view.newestWeights().getOrDefault(entry.getKey(), 0L))
                 .findFirst();
         if (status.busy()) {
-            task.ordered = true;
-        } else if (outdated.isEmpty()) {
+            return;
+        }
+        if (outdated.isEmpty()) {
             status.weightsVersions().values().forEach(version -> loaded.merge(task.upstream.key(), version, Math::max));
             tasks.remove(task.upstream.key());
             metrics.counter("weights_loads_total").inc();
@@ -274,7 +275,6 @@
             return;
         }
         WeightsOrder order = new WeightsOrder(model, version, vmName, duty.fencingToken(), status.acceptedOrders());
-        task.ordered = true;
         task.asking = true;
         Futures.whenDone(engines.load(task.upstream, order), control, (answer, failure) -> {
             task.asking = false;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -29,6 +29,7 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -412,7 +413,7 @@
         }
         finish("caller_gone");
         abortCurrent();
-        callback.failed(new AgatelaneException(FailureType.UPSTREAM_FAILED, "the caller closed its connection"));
+        callback.failed(new QuietException.Exception("the caller closed its connection"));
     }
 
     private void fail(AgatelaneException failure) {
@@ -424,7 +425,7 @@
         abortCurrent();
         if (wasCommitted) {
             // The answer must not look complete, so its connection is closed in the middle of it.
-            callback.failed(failure);
+            callback.failed(new QuietException.Exception(failure.getMessage(), failure));
         } else {
             Answers.writeFailure(context, response, callback, failure, caller.id());
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/Send.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/Send.java
@@ -19,7 +19,7 @@
  *
  * <p>A connection that carries one request cannot be silent from before, and no earlier answer can arrive on it.
  */
-final class Send implements Response.Listener, Response.AsyncContentListener {
+final class Send implements Response.Listener {
     /** What a send reports to its call. Methods are called in the order of the answer, never at the same time. */
     interface Listener {
         /** The head of an answer; false ends the send. */
@@ -68,12 +68,11 @@
                     fields.clear();
                     fields.add(headers);
                 })
-                .onRequestBegin(ignored -> begun.set(true))
-                .onResponseContentAsync(this);
+                .onRequestBegin(ignored -> begun.set(true));
         if (hasBody) {
             request.body(new BytesRequestContent(NO_CONTENT_TYPE, body));
         }
-        request.onResponseHeaders(this).send(this);
+        request.send(this);
     }
 
     /** Ends the send; the upstream sees its connection close. */
