Tell resets from ends, refuse late requests in a shutdown, keep requests off long replaced weights

Cause: MIXED because Jetty reads a reset as the end of an answer without a length; LOST because requests that came more than 3 s after SIGTERM were still running at its end; VERSION because engines that were dark return with old weights, and because each SIGTERM of the holder left the roll-out without a holder until its lease lapsed.

--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
@@ -14,6 +14,8 @@
  * @param maxProofMillis age of the configuration up to which a request with an API key is sent on
  * @param graceMillis time between SIGTERM and the end of the process
  * @param leaseMillis shortest time between the orders of two holders
+ * @param upstreamsCheckFencing whether engines refuse orders with a lower fencing token than one they have seen
+ * @param weightsMillis time after which no request may begin on replaced weights
  * @param retryRatio repeated sends that all routers may make for each request
  * @param retrySlack repeated sends besides, of all routers together
  * @param retryWindowMillis window of the two figures before
@@ -32,6 +34,8 @@
         long maxProofMillis,
         long graceMillis,
         long leaseMillis,
+        boolean upstreamsCheckFencing,
+        long weightsMillis,
         double retryRatio,
         int retrySlack,
         long retryWindowMillis,
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
@@ -19,6 +19,8 @@
     private static final double DEFAULT_REVOCATION_SECONDS = 5;
     private static final double DEFAULT_GRACE_SECONDS = 8;
     private static final double DEFAULT_LEASE_SECONDS = 3;
+    // The shorter of today's deployments.
+    private static final double DEFAULT_WEIGHTS_SECONDS = 12;
     // Usual share of repeated sends that deployments allow.
     private static final double DEFAULT_RETRY_RATIO = 0.2;
     private static final int DEFAULT_RETRY_SLACK = 50;
@@ -61,6 +63,8 @@
                 millis(bounds, "revocationSeconds", DEFAULT_REVOCATION_SECONDS, REVOCATION_MARGIN_SECONDS),
                 millis(bounds, "graceSeconds", DEFAULT_GRACE_SECONDS, 0),
                 millis(bounds, "leaseSeconds", DEFAULT_LEASE_SECONDS, 0),
+                bounds.flag("upstreamsCheckFencing", false),
+                millis(bounds, "weightsSeconds", DEFAULT_WEIGHTS_SECONDS, 0),
                 bounds.decimal("retryRatio", DEFAULT_RETRY_RATIO, 0, 1),
                 bounds.integer("retrySlack", DEFAULT_RETRY_SLACK, 0, MAX_RETRY_SLACK),
                 millis(bounds, "retryWindowSeconds", DEFAULT_RETRY_WINDOW_SECONDS, 0),
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/SettingsSection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/SettingsSection.java
@@ -131,6 +131,19 @@
         return value.asLong();
     }
 
+    boolean flag(String field, boolean defaultValue) {
+        known.add(field);
+        JsonNode value = node.path(field);
+        if (value.isMissingNode()) {
+            return defaultValue;
+        }
+        if (!value.isBoolean()) {
+            fault(field, "expected true or false, found " + describe(value));
+            return defaultValue;
+        }
+        return value.asBoolean();
+    }
+
     /** A number with or without a fraction. */
     double decimal(String field, double defaultValue, double min, double max) {
         known.add(field);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetClients.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetClients.java
@@ -39,7 +39,7 @@
     }
 
     private static HttpClient create(Executor executor, Scheduler scheduler) {
-        ClientConnector connector = new ClientConnector();
+        ClientConnector connector = new ResetAwareConnector();
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetKnowledge.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetKnowledge.java
@@ -4,6 +4,7 @@
 import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
+import io.agatelane.core.fleet.NamedWeights;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +15,7 @@
     private final FleetView view;
     private final Optional<ConfigProof> proof;
     private final Map<String, Long> loadedWeights;
+    private final Map<String, NamedWeights> namedWeights;
     private final Map<String, List<FleetUpstream>> usable;
 
     /**
@@ -21,11 +23,17 @@
      *
      * @param proof empty until the store was read once
      * @param loadedWeights upstream key to the version that it is known to have loaded since its entry was written
+     * @param namedWeights model to its newest weights
      */
-    public FleetKnowledge(FleetView view, Optional<ConfigProof> proof, Map<String, Long> loadedWeights) {
+    public FleetKnowledge(
+            FleetView view,
+            Optional<ConfigProof> proof,
+            Map<String, Long> loadedWeights,
+            Map<String, NamedWeights> namedWeights) {
         this.view = view;
         this.proof = proof;
         this.loadedWeights = Map.copyOf(loadedWeights);
+        this.namedWeights = Map.copyOf(namedWeights);
         this.usable = view.upstreams().stream()
                 .filter(upstream -> !upstream.draining())
                 .collect(Collectors.groupingBy(FleetUpstream::service));
@@ -54,8 +62,8 @@
         return stated == null ? 0 : Math.max(stated, loadedWeights.getOrDefault(upstream.key(), 0L));
     }
 
-    /** Newest version of a model's weights that the operator named; 0 when unknown. */
-    public long newestWeights(String model) {
-        return view.newestWeights().getOrDefault(model, 0L);
+    /** Newest weights that the operator named for a model; empty when unknown. */
+    public Optional<NamedWeights> newestWeights(String model) {
+        return Optional.ofNullable(namedWeights.get(model));
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -13,7 +13,9 @@
 import io.agatelane.node.util.EventLog;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -27,8 +29,12 @@
     private static final int MIN_THREADS = 8;
     // The load balancer takes a router out after two refused checks, a second apart; a third second is for its delay.
     private static final long OUT_OF_ROTATION_MILLIS = 3_200;
+    // A request that comes later than this could still be running when the process has to end.
+    private static final long LAST_REQUEST_MILLIS = 2_800;
+    // One answer of the store.
+    private static final long HAND_OVER_MILLIS = 250;
     // Part of the grace period that is left for ending the process.
-    private static final long EXIT_MILLIS = 900;
+    private static final long EXIT_MILLIS = 1_000;
     private static final long DRAIN_CHECK_MILLIS = 50;
     // A record that was published is read by every router within a poll and an answer of the store.
     private static final long ANNOUNCE_SLACK_MILLIS = 150;
@@ -73,7 +79,13 @@
                 settings.callerAddress());
         RandomGenerator random = RandomGenerator.getDefault();
         follower = new FleetFollower(ports.source(), state, control, control, random, settings.pollMillis(), metrics);
-        RolloutDuty duty = new RolloutDuty(ports.store(), control, control, settings.vmName(), settings.leaseMillis());
+        RolloutDuty duty = new RolloutDuty(
+                ports.store(),
+                control,
+                control,
+                settings.vmName(),
+                settings.leaseMillis(),
+                settings.upstreamsCheckFencing());
         rollout = new WeightsRollout(
                 state,
                 follower,
@@ -125,11 +137,16 @@
                 .info();
         draining = true;
         context.drain();
-        rollout.stop();
         try {
             while (!isDrained(control.monotonicMillis() - begunMillis)) {
                 TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
             }
+            rollout.stop().get(HAND_OVER_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException e) {
+            LOG.event("rollout_duty_not_handed_over")
+                    .with("action", "lapses")
+                    .with("reason", e.toString())
+                    .info();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -143,6 +160,9 @@
     }
 
     private boolean isDrained(long elapsedMillis) {
+        if (elapsedMillis > LAST_REQUEST_MILLIS) {
+            context.refuse();
+        }
         boolean outOfTime = elapsedMillis > settings.graceMillis() - EXIT_MILLIS;
         return outOfTime || (elapsedMillis > OUT_OF_ROTATION_MILLIS && forward.inFlight() == 0);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -3,6 +3,7 @@
 import io.agatelane.core.fleet.ConfigProof;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
+import io.agatelane.core.fleet.NamedWeights;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
 import java.util.List;
@@ -16,8 +17,10 @@
 public final class FleetState {
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
     private final Map<String, Long> seenWeights = new ConcurrentHashMap<>();
+    private final Map<String, NamedWeights> named = new ConcurrentHashMap<>();
     private final Set<String> replaced = ConcurrentHashMap.newKeySet();
-    private volatile FleetKnowledge knowledge = new FleetKnowledge(FleetView.EMPTY, Optional.empty(), Map.of());
+    private volatile FleetKnowledge knowledge =
+            new FleetKnowledge(FleetView.EMPTY, Optional.empty(), Map.of(), Map.of());
 
     public FleetKnowledge knowledge() {
         return knowledge;
@@ -25,7 +28,15 @@
 
     /** Takes over what a read of the store has shown. */
     public void update(FleetView view, ConfigProof proof, Map<String, Long> loadedWeights) {
-        knowledge = new FleetKnowledge(view, Optional.of(proof), loadedWeights);
+        boolean hasRead = knowledge.proof().isPresent();
+        view.newestWeights()
+                .forEach((model, version) -> named.merge(
+                        model,
+                        new NamedWeights(version, proof.monotonicMillis(), hasRead),
+                        (known, read) -> known.version() >= read.version()
+                                ? known
+                                : new NamedWeights(version, proof.monotonicMillis(), true)));
+        knowledge = new FleetKnowledge(view, Optional.of(proof), loadedWeights, named);
         Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
         loads.keySet().retainAll(present);
         seenWeights.keySet().retainAll(present);
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/ResetAwareEndPoint.java
@@ -0,0 +1,41 @@
+package io.agatelane.node.fleet;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/**
+ * A connection that reports a reset as a failure.
+ *
+ * <p>Jetty treats a reset like a regular end of the connection. An answer without a length ends with its connection, so
+ * an answer that was cut off by a reset would look complete.
+ */
+final class ResetAwareEndPoint extends SocketChannelEndPoint {
+    ResetAwareEndPoint(SocketChannel channel, ManagedSelector selector, SelectionKey key, Scheduler scheduler) {
+        super(channel, selector, key, scheduler);
+    }
+
+    @Override
+    public int fill(ByteBuffer buffer) throws IOException {
+        if (isInputShutdown()) {
+            return -1;
+        }
+        int position = BufferUtil.flipToFill(buffer);
+        try {
+            int filled = getChannel().read(buffer);
+            if (filled > 0) {
+                notIdle();
+            } else if (filled < 0) {
+                shutdownInput();
+            }
+            return filled;
+        } finally {
+            BufferUtil.flipToFlush(buffer, position);
+        }
+    }
+}
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutDuty.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutDuty.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 
 /**
@@ -30,16 +31,24 @@
     private final Executor control;
     private final String vmName;
     private final long leaseMillis;
+    private final boolean upstreamsCheckFencing;
     private Optional<Term> term = Optional.empty();
     private boolean busy;
 
     /** Creates a duty that is not held. */
-    public RolloutDuty(ConditionalStore store, TimerService timers, Executor control, String vmName, long leaseMillis) {
+    public RolloutDuty(
+            ConditionalStore store,
+            TimerService timers,
+            Executor control,
+            String vmName,
+            long leaseMillis,
+            boolean upstreamsCheckFencing) {
         this.store = store;
         this.timers = timers;
         this.control = control;
         this.vmName = vmName;
         this.leaseMillis = leaseMillis;
+        this.upstreamsCheckFencing = upstreamsCheckFencing;
     }
 
     private static final class Term {
@@ -206,6 +215,20 @@
         }
     }
 
+    /**
+     * Gives the duty up at the end of the process.
+     *
+     * <p>Where upstreams refuse the orders of an earlier holder the next one may start at once, so the lease is ended.
+     * Elsewhere it lapses, which keeps the orders of both apart.
+     */
+    public CompletableFuture<Void> handOver() {
+        Optional<Term> last = term;
+        stepDown("shutdown");
+        return last.isPresent() && upstreamsCheckFencing
+                ? store.revokeLease(last.get().leaseId)
+                : CompletableFuture.completedFuture(null);
+    }
+
     /** Gives the duty up; the key goes when the lease lapses, so that the next holder starts well after this one. */
     public void stepDown(String reason) {
         if (term.isPresent()) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.random.RandomGenerator;
 
@@ -103,12 +104,12 @@
         timers.every("weights-rollout", TICK_MILLIS, this::tick);
     }
 
-    /** Gives no further orders. */
-    public void stop() {
-        control.execute(() -> {
+    /** Gives no further orders and hands the duty over. */
+    public CompletableFuture<Void> stop() {
+        return Futures.on(control, () -> {
             stopped = true;
             tasks.clear();
-            duty.stepDown("shutdown");
+            return duty.handOver();
         });
     }
 
@@ -128,7 +129,8 @@
         duty.published().ifPresent(this::markPublished);
         int concurrent = concurrentLoads(view);
         for (Task task : List.copyOf(tasks.values())) {
-            long loading = tasks.values().stream().filter(other -> other.mayLoad).count();
+            long loading =
+                    tasks.values().stream().filter(other -> other.mayLoad).count();
             if (task.mayLoad || loading < concurrent) {
                 advance(task);
             }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -3,16 +3,19 @@
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.Executed;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.EngineProfile;
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetService;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.NamedWeights;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.Choice;
 import io.agatelane.core.fleet.query.EventFramer;
+import io.agatelane.core.fleet.query.WeightsRule;
 import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.api.UpstreamAnswer;
@@ -151,16 +154,11 @@
     private Choice choose(FleetKnowledge known, long now, long leftMillis) {
         Optional<Prompt> prompt = caller.prompt();
         List<Candidate> candidates = context.state().candidates(known, service, prompt.map(Prompt::model), tried, now);
-        Optional<FleetService> target = known.config().flatMap(config -> config.service(service));
-        Optional<Choice> choice =
-                prompt.isPresent() && target.flatMap(FleetService::engine).isPresent()
-                        ? context.chooser()
-                                .chooseForPrompt(
-                                        candidates,
-                                        prompt.get(),
-                                        target.get().engine().get(),
-                                        known.newestWeights(prompt.get().model()))
-                        : context.chooser().chooseForCall(candidates, CALL_MILLIS);
+        Optional<EngineProfile> engine =
+                known.config().flatMap(config -> config.service(service)).flatMap(FleetService::engine);
+        Optional<Choice> choice = prompt.isPresent() && engine.isPresent()
+                ? chooseEngine(known, candidates, prompt.get(), engine.get(), now)
+                : context.chooser().chooseForCall(candidates, CALL_MILLIS);
         if (choice.isEmpty()) {
             throw new AgatelaneException(FailureType.NO_UPSTREAM, "no upstream of " + service + " takes work")
                     .withRetryAfterMillis(BUSY_RETRY_MILLIS);
@@ -176,6 +174,20 @@
         return choice.get();
     }
 
+    private Optional<Choice> chooseEngine(
+            FleetKnowledge known, List<Candidate> candidates, Prompt prompt, EngineProfile engine, long now) {
+        Optional<NamedWeights> named = known.newestWeights(prompt.model());
+        List<Candidate> allowed = named.map(weights -> WeightsRule.allowed(
+                        candidates,
+                        weights.version(),
+                        now - weights.seenMillis(),
+                        weights.sawNaming(),
+                        context.settings().weightsMillis()))
+                .orElse(candidates);
+        long newest = named.map(NamedWeights::version).orElse(0L);
+        return context.chooser().chooseForPrompt(allowed, prompt, engine, newest);
+    }
+
     private void send(FleetKnowledge known, Choice choice, long leftMillis) {
         tried.add(choice.candidate().upstream().key());
         HttpFields.Mutable headers = HttpFields.build();
@@ -285,7 +297,9 @@
             // The weights differ from the entry: most likely the newest ones were loaded since it was written.
             long newest = context.state()
                     .knowledge()
-                    .newestWeights(caller.prompt().get().model());
+                    .newestWeights(caller.prompt().get().model())
+                    .map(NamedWeights::version)
+                    .orElse(0L);
             context.state().sawWeights(send.upstream(), answer.weightsVersion().orElse(newest));
         } else {
             context.state().load(send.upstream()).failed(context.timers().monotonicMillis());
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -32,6 +32,7 @@
     private final RecentParts savedParts = new RecentParts(SAVED_MEMORY_MILLIS, SAVED_CAPACITY);
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private volatile boolean draining;
+    private volatile boolean refusing;
 
     /** Creates the shared state of a router. */
     public ForwardContext(
@@ -98,6 +99,16 @@
         return draining;
     }
 
+    /** Whether new requests are refused because the process ends before many of them could be answered. */
+    boolean isRefusing() {
+        return refusing;
+    }
+
+    /** Refuses new requests from now on. */
+    public void refuse() {
+        refusing = true;
+    }
+
     /** Begins the shutdown. */
     public void drain() {
         draining = true;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
@@ -24,6 +24,9 @@
     // A router without a configuration reads the store several times a second.
     private static final long NO_CONFIG_RETRY_MILLIS = 300;
 
+    // The next connection goes to another router, so the caller may come back at once.
+    private static final long SHUTDOWN_RETRY_MILLIS = 10;
+
     private final ForwardContext context;
     private final AtomicInteger inFlight = new AtomicInteger();
 
@@ -59,6 +62,10 @@
 
     private void begin(Request request, Response response, Callback callback, byte[] body, long arrivedMillis) {
         try {
+            if (context.isRefusing()) {
+                throw new AgatelaneException(FailureType.SHUTTING_DOWN, "this router is shutting down")
+                        .withRetryAfterMillis(SHUTDOWN_RETRY_MILLIS);
+            }
             CallerRequest caller = context.ports().callers().decode(request.getHeaders());
             FleetKnowledge known = context.state().knowledge();
             FleetConfig config = known.config().orElseThrow(() -> new AgatelaneException(
