Share load and placements between routers; judge replaced weights by their own replacement

Cause: a router saw only its own seventh of the traffic: backlog of other routers counted as nothing, and shared parts were read again because nobody knew where they were.

Change: a datagram of a few hundred bytes to every other router five times a second, peers found in the store; placements replace the fixed home; the roll-out takes the oldest weights first.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/CacheStore.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/CacheStore.java
@@ -5,5 +5,6 @@
  *
  * @param address IP:PORT
  * @param capacityTokens tokens that fit
+ * @param linkMegabitsPerSecond speed of transfers from and to it
  */
-public record CacheStore(String name, String address, String zone, long capacityTokens) {}
+public record CacheStore(String name, String address, String zone, long capacityTokens, double linkMegabitsPerSecond) {}
--- /dev/null
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PlacementIndex.java
@@ -0,0 +1,81 @@
+package io.agatelane.core.fleet.command;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Where shared prompt parts were sent lately, by this router and its peers. Bounded and thread-safe.
+ *
+ * <p>An engine drops the parts it has not used for longest. How much it has read since a part was used tells whether the
+ * part is still there; no cache events are needed.
+ */
+public final class PlacementIndex {
+    private static final int CAPACITY = 20_000;
+    private static final int MAX_HOLDERS = 4;
+    private static final float LOAD_FACTOR = 0.75f;
+    // Placements that were not sent to the peers yet; older ones are dropped, which costs at most a transfer.
+    private static final int MAX_UNSENT = 256;
+
+    private final Map<Long, Map<Long, Long>> readTokensAtUse = new LinkedHashMap<>(1_024, LOAD_FACTOR, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Map<Long, Long>> eldest) {
+            return size() > CAPACITY;
+        }
+    };
+    private final Map<Long, Long> readTokens = new HashMap<>();
+    private final Deque<Placement> unsent = new ArrayDeque<>();
+
+    /**
+     * A use of a part.
+     *
+     * @param part hash of cache salt and part
+     * @param holder hash of the engine's key or the store's address
+     * @param tokens tokens that the holder has taken into its memory for the request
+     */
+    public record Placement(long part, long holder, int tokens) {}
+
+    /** Records a use that this router has seen. */
+    public synchronized void placed(Placement placement) {
+        apply(placement);
+        unsent.addLast(placement);
+        if (unsent.size() > MAX_UNSENT) {
+            unsent.removeFirst();
+        }
+    }
+
+    /** Records a use that a peer has seen. */
+    public synchronized void heard(Placement placement) {
+        apply(placement);
+    }
+
+    /** Takes the uses that the peers were not told yet. */
+    public synchronized List<Placement> takeUnsent() {
+        List<Placement> taken = new ArrayList<>(unsent);
+        unsent.clear();
+        return taken;
+    }
+
+    /** Whether a holder probably still has a part, given how many tokens of unused parts it can keep. */
+    public synchronized boolean holds(long part, long holder, double keptTokens) {
+        Map<Long, Long> uses = readTokensAtUse.get(part);
+        Long atUse = uses == null ? null : uses.get(holder);
+        return atUse != null && readTokens.getOrDefault(holder, 0L) - atUse < keptTokens;
+    }
+
+    private void apply(Placement placement) {
+        long read = readTokens.merge(placement.holder(), (long) placement.tokens(), Long::sum);
+        Map<Long, Long> uses = readTokensAtUse.computeIfAbsent(placement.part(), part -> new LinkedHashMap<>());
+        uses.remove(placement.holder());
+        uses.put(placement.holder(), read);
+        if (uses.size() > MAX_HOLDERS) {
+            uses.remove(uses.keySet().iterator().next());
+        }
+    }
+}
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamEstimate.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamEstimate.java
@@ -4,19 +4,17 @@
  * The load of an upstream at one moment.
  *
  * @param requests requests of all routers, running or waiting
- * @param ownRequests those of this router
- * @param pendingPrefillMillis prefill work of this router's requests that have no answer yet
+ * @param pendingPrefillMillis prefill work of requests that have no answer yet
  * @param speedPercent how long work takes; 100 is as usual
- * @param oldestUnansweredMillis age of this router's oldest request without an answer
+ * @param oldestUnansweredMillis age of the oldest request without an answer
  * @param failures recent failures, faded with time
  */
 public record UpstreamEstimate(
         double requests,
-        int ownRequests,
         double pendingPrefillMillis,
         double speedPercent,
         long oldestUnansweredMillis,
         double failures) {
     /** Nothing is known of the upstream. */
-    public static final UpstreamEstimate IDLE = new UpstreamEstimate(0, 0, 0, 100, 0, 0);
+    public static final UpstreamEstimate IDLE = new UpstreamEstimate(0, 0, 100, 0, 0);
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
@@ -64,20 +64,38 @@
         failedMillis = nowMillis;
     }
 
-    /** An immutable copy for one decision. */
-    public synchronized UpstreamEstimate estimate(long nowMillis) {
-        double othersNow = others * halved(nowMillis - reportedMillis, OTHERS_HALF_LIFE_MILLIS);
-        double speed = speedPercent > SPEED_AS_USUAL_PERCENT
-                ? SPEED_AS_USUAL_PERCENT
-                        + (speedPercent - SPEED_AS_USUAL_PERCENT)
-                                * halved(nowMillis - reportedMillis, OTHERS_HALF_LIFE_MILLIS)
-                : speedPercent;
-        long oldest = unansweredSinceMillis.values().stream()
-                .mapToLong(Long::longValue)
-                .min()
-                .orElse(nowMillis);
+    /** An immutable copy for one decision, together with what the other routers say. */
+    public synchronized UpstreamEstimate estimate(PeerTotal peers, long nowMillis) {
+        double reportedOthers = others * halved(nowMillis - reportedMillis, OTHERS_HALF_LIFE_MILLIS);
         return new UpstreamEstimate(
-                inFlight + othersNow, inFlight, pendingPrefillMillis, speed, nowMillis - oldest, failures(nowMillis));
+                inFlight + Math.max(reportedOthers, peers.inFlight()),
+                pendingPrefillMillis + peers.pendingPrefillMillis(),
+                speed(nowMillis),
+                Math.max(silentMillis(nowMillis), peers.silentMillis()),
+                failures(nowMillis) + peers.failures());
+    }
+
+    /** What the other routers are told. */
+    public synchronized PeerLoad digest(long upstream, long nowMillis) {
+        return new PeerLoad(
+                upstream,
+                inFlight,
+                (int) Math.round(pendingPrefillMillis),
+                (int) silentMillis(nowMillis),
+                failures(nowMillis));
+    }
+
+    // A slow moment passes; without a newer report the upstream counts as usual again.
+    private double speed(long nowMillis) {
+        double excess = speedPercent - SPEED_AS_USUAL_PERCENT;
+        return SPEED_AS_USUAL_PERCENT + excess * halved(nowMillis - reportedMillis, OTHERS_HALF_LIFE_MILLIS);
+    }
+
+    private long silentMillis(long nowMillis) {
+        return unansweredSinceMillis.values().stream()
+                .mapToLong(since -> nowMillis - since)
+                .max()
+                .orElse(0);
     }
 
     private double failures(long nowMillis) {
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/Choice.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/Choice.java
@@ -7,6 +7,6 @@
  *
  * @param expectedMillis expected time to the first byte of the answer
  * @param prefillMillis part of it that the upstream spends on reading the prompt
- * @param cacheSource address of another engine that probably holds the shared parts; empty when the chosen one does
+ * @param cacheSource address to copy shared parts from; empty when the chosen engine has them or nobody does
  */
 public record Choice(Candidate candidate, double expectedMillis, double prefillMillis, Optional<String> cacheSource) {}
--- /dev/null
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
@@ -0,0 +1,148 @@
+package io.agatelane.core.fleet.query;
+
+import io.agatelane.core.fleet.CacheStore;
+import io.agatelane.core.fleet.EngineProfile;
+import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.Prompt;
+import io.agatelane.core.fleet.command.PlacementIndex;
+import io.agatelane.core.hash.Rendezvous;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Where the shared parts of one prompt are.
+ *
+ * <p>Parts are looked up under the name space of the engine's weights and, for an isolated account, of the account.
+ */
+public final class PromptCache {
+    // Below this size reading a prefix again is faster than any transfer.
+    private static final int MIN_TRANSFER_TOKENS = 500;
+    // Fixed part of a transfer: set-up at both ends and the look-up at the source.
+    private static final double TRANSFER_SETUP_MILLIS = 10;
+    private static final double CROSS_ZONE_FACTOR = 2;
+    // Part of an engine's memory that unused parts occupy; running requests take the rest.
+    private static final double ENGINE_KEPT_SHARE = 0.5;
+    private static final double STORE_KEPT_SHARE = 0.8;
+
+    private final PlacementIndex index;
+    private final Prompt prompt;
+    private final EngineProfile profile;
+    private final Optional<CacheStore> store;
+    private final Optional<String> isolatedAccount;
+    private final List<Candidate> candidates;
+
+    /** Combines what is known about a prompt. */
+    public PromptCache(
+            PlacementIndex index,
+            Prompt prompt,
+            EngineProfile profile,
+            Optional<CacheStore> store,
+            Optional<String> isolatedAccount,
+            List<Candidate> candidates) {
+        this.index = index;
+        this.prompt = prompt;
+        this.profile = profile;
+        this.store = store;
+        this.isolatedAccount = isolatedAccount;
+        this.candidates = candidates;
+    }
+
+    /**
+     * A place to copy shared parts from.
+     *
+     * @param address IP:PORT
+     * @param millis expected time of the copy
+     */
+    public record Source(String address, double millis) {}
+
+    /** Name space of cached parts for an engine's weights. Other weights and other accounts never find them. */
+    public String salt(long weightsVersion) {
+        return isolatedAccount.map(account -> weightsVersion + "/" + account).orElse(Long.toString(weightsVersion));
+    }
+
+    /** Whether an engine probably has the shared parts. */
+    public boolean holds(Candidate candidate) {
+        return index.holds(
+                part(candidate.weightsVersion()),
+                holder(candidate.upstream()),
+                profile.cacheTokens() * ENGINE_KEPT_SHARE);
+    }
+
+    /** Whether any engine with the same weights probably has them. */
+    public boolean isHeldAnywhere(Candidate candidate) {
+        return storeHolds(candidate.weightsVersion())
+                || candidates.stream()
+                        .anyMatch(other -> other.weightsVersion() == candidate.weightsVersion() && holds(other));
+    }
+
+    /** The quickest place to copy the shared parts from; empty when reading them again is the only way. */
+    public Optional<Source> source(Candidate target) {
+        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
+            return Optional.empty();
+        }
+        Optional<Source> best = Optional.empty();
+        for (Candidate other : candidates) {
+            boolean usable = other != target && other.weightsVersion() == target.weightsVersion() && holds(other);
+            if (usable) {
+                double millis = transferMillis(
+                        profile, other.upstream().zone(), target.upstream().zone());
+                best = quicker(best, new Source(other.upstream().address(), millis));
+            }
+        }
+        if (storeHolds(target.weightsVersion())) {
+            CacheStore from = store.orElseThrow();
+            EngineProfile link = new EngineProfile(1, 0, profile.tokenBytes(), from.linkMegabitsPerSecond());
+            double millis = transferMillis(link, from.zone(), target.upstream().zone());
+            best = quicker(best, new Source(from.address(), millis));
+        }
+        return best;
+    }
+
+    /** The store to save the parts to once they are read; empty when it probably has them. */
+    public Optional<String> saveTo(long weightsVersion) {
+        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS || storeHolds(weightsVersion)) {
+            return Optional.empty();
+        }
+        return store.map(CacheStore::address);
+    }
+
+    /** Records that an engine has read the prompt, and that it saves it when it was told to. */
+    public void record(Candidate chosen, boolean saved) {
+        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
+            return;
+        }
+        long part = part(chosen.weightsVersion());
+        int own = prompt.inputTokens() - prompt.sharedTokens();
+        int read = holds(chosen) ? own : prompt.inputTokens();
+        index.placed(new PlacementIndex.Placement(part, holder(chosen.upstream()), Math.max(0, read)));
+        if (saved) {
+            store.ifPresent(target -> index.placed(
+                    new PlacementIndex.Placement(part, Rendezvous.hash(target.address()), prompt.inputTokens())));
+        }
+    }
+
+    private boolean storeHolds(long weightsVersion) {
+        return store.isPresent()
+                && index.holds(
+                        part(weightsVersion),
+                        Rendezvous.hash(store.get().address()),
+                        store.get().capacityTokens() * STORE_KEPT_SHARE);
+    }
+
+    private double transferMillis(EngineProfile link, String fromZone, String toZone) {
+        double factor = fromZone.equals(toZone) ? 1 : CROSS_ZONE_FACTOR;
+        return TRANSFER_SETUP_MILLIS + link.transferMillis(prompt.sharedTokens()) * factor;
+    }
+
+    private static Optional<Source> quicker(Optional<Source> known, Source other) {
+        return known.isPresent() && known.get().millis() <= other.millis() ? known : Optional.of(other);
+    }
+
+    private long part(long weightsVersion) {
+        return Rendezvous.hash(prompt.model() + '/' + salt(weightsVersion) + '/' + prompt.sharedPrefixId());
+    }
+
+    private static long holder(FleetUpstream upstream) {
+        return Rendezvous.hash(upstream.key());
+    }
+}
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/RolloutPlan.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/RolloutPlan.java
@@ -19,7 +19,7 @@
     }
 
     /**
-     * The engines to take out of service now, the idlest first.
+     * The engines to take out of service now: the oldest weights first, among equals the idlest.
      *
      * <p>Answers the load of a roll-out in the middle of a day: engines of one service leave together only up to the
      * number of concurrent loads, so that the rest can carry the traffic.
@@ -36,8 +36,17 @@
         return upstreams.stream()
                 .filter(upstream -> isOutdated(upstream, newestWeights))
                 .filter(upstream -> !reserved.contains(upstream.id()))
-                .sorted(Comparator.comparingDouble(load).thenComparing(FleetUpstream::id))
+                .sorted(Comparator.comparingLong(RolloutPlan::oldestVersion)
+                        .thenComparingDouble(load)
+                        .thenComparing(FleetUpstream::id))
                 .limit(Math.max(0, maxReserved - reserved.size()))
                 .toList();
     }
+
+    private static long oldestVersion(FleetUpstream upstream) {
+        return upstream.weightsVersions().values().stream()
+                .mapToLong(Long::longValue)
+                .min()
+                .orElse(0);
+    }
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -1,7 +1,6 @@
 package io.agatelane.core.fleet.query;
 
 import io.agatelane.core.fleet.EngineProfile;
-import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.command.UpstreamEstimate;
 import io.agatelane.core.hash.Rendezvous;
@@ -13,24 +12,23 @@
 /**
  * Picks the upstream with the shortest expected time to the first byte.
  *
- * <p>Answers two loads: prompts with long shared prefixes, which go to the home of the prefix while it is not busy, and
- * bursts, in which they leave it for an engine that fetches the prefix from there.
+ * <p>Answers two loads: prompts with long shared prefixes, which go where the prefix is while that engine is not busy,
+ * and bursts, in which they leave it for an engine that copies the prefix.
  */
 public final class UpstreamChooser {
-    // Below this size reading a prefix again is faster than any transfer between engines.
-    private static final int MIN_TRANSFER_TOKENS = 100;
-    // Fixed part of a transfer: a round trip between engines and the look-up at the source.
-    private static final double TRANSFER_SETUP_MILLIS = 2;
-    // Price of an answer on replaced weights: a fifth of it is lost, so a wait of a fifth of a second is worth while.
-    private static final double OLD_WEIGHTS_MILLIS = 200;
+    // Price of an answer on replaced weights: a fifth of it is lost, so a wait well under the objective is worth while.
+    private static final double OLD_WEIGHTS_MILLIS = 100;
     // A silent upstream is avoided once its oldest request has waited longer than an ordinary first token takes.
     private static final double ORDINARY_WAIT_MILLIS = 150;
     // Half of the requests of an upstream that fails in half of them have to be sent again, after about this time.
     private static final double FAILURE_MILLIS = 200;
-    // Work that another router's request still has before it, on average: half of a short prompt.
-    private static final double OTHER_REQUEST_MILLIS = 4;
+    // Routers that read the same prefix for the first time at once meet at one engine instead of reading it twice.
+    private static final double NOT_HOME_MILLIS = 20;
+    // An upstream with all slots taken costs at most this much more than an empty one, before requests wait.
+    private static final double CROWDING_MILLIS = 20;
+    // Time in which a run of some tens of tokens leaves its slot.
+    private static final double RUN_MILLIS = 120;
     private static final double PERCENT = 100;
-    private static final double CROSS_ZONE_TRANSFER_FACTOR = 2;
 
     private final ChoiceSettings settings;
 
@@ -50,17 +48,19 @@
      * @param newestVersion newest weights that the operator named; 0 when unknown
      */
     public Optional<Choice> chooseForPrompt(
-            List<Candidate> candidates, Prompt prompt, EngineProfile profile, long newestVersion) {
+            List<Candidate> candidates, Prompt prompt, EngineProfile profile, PromptCache cache, long newestVersion) {
         Optional<Candidate> home = home(candidates, prompt, newestVersion);
-        return best(candidates, candidate -> promptMillis(candidate, home, prompt, profile, newestVersion))
+        return best(candidates, candidate -> promptMillis(candidate, home, prompt, profile, cache, newestVersion))
                 .map(candidate -> new Choice(
                         candidate,
-                        promptMillis(candidate, home, prompt, profile, newestVersion),
-                        prefillMillis(candidate, home, prompt, profile),
-                        cacheSource(candidate, home, prompt)));
+                        promptMillis(candidate, home, prompt, profile, cache, newestVersion),
+                        prefillMillis(candidate, prompt, cache),
+                        cache.holds(candidate)
+                                ? Optional.empty()
+                                : cache.source(candidate).map(PromptCache.Source::address)));
     }
 
-    /** The engine that all routers prefer for a prefix, among those with the newest weights where there are any. */
+    /** The engine at which all routers read a prefix first, among those with the newest weights if there are any. */
     private static Optional<Candidate> home(List<Candidate> candidates, Prompt prompt, long newestVersion) {
         String prefix = prompt.sharedPrefixId();
         if (prefix.isEmpty()) {
@@ -78,49 +78,36 @@
     }
 
     private double promptMillis(
-            Candidate candidate, Optional<Candidate> home, Prompt prompt, EngineProfile profile, long newestVersion) {
+            Candidate candidate,
+            Optional<Candidate> home,
+            Prompt prompt,
+            EngineProfile profile,
+            PromptCache cache,
+            long newestVersion) {
         UpstreamEstimate load = candidate.estimate();
-        double others = Math.max(0, load.requests() - load.ownRequests()) * OTHER_REQUEST_MILLIS;
-        double backlog = load.pendingPrefillMillis() + others;
-        double slotWait = Math.max(0, load.requests() + 1 - profile.slots()) * backlogPerSlot(profile);
-        double millis = backlog + slotWait + prefillMillis(candidate, home, prompt, profile);
+        double slotWait = Math.max(0, load.requests() + 1 - profile.slots()) * RUN_MILLIS / profile.slots();
+        double crowding = load.requests() / profile.slots() * CROWDING_MILLIS;
+        double millis = load.pendingPrefillMillis() + slotWait + crowding + prefillMillis(candidate, prompt, cache);
         millis = millis * load.speedPercent() / PERCENT + suspicionMillis(candidate);
+        boolean away = home.isPresent()
+                && home.get() != candidate
+                && !cache.holds(candidate)
+                && !cache.isHeldAnywhere(candidate);
+        millis += away ? NOT_HOME_MILLIS : 0;
         return candidate.weightsVersion() < newestVersion ? millis + OLD_WEIGHTS_MILLIS : millis;
     }
 
-    // An engine frees its slots one by one; a run of some tens of tokens takes about as many times its step time.
-    private static double backlogPerSlot(EngineProfile profile) {
-        double meanRunMillis = 120;
-        return meanRunMillis / Math.max(1, profile.slots());
-    }
-
-    private double prefillMillis(Candidate candidate, Optional<Candidate> home, Prompt prompt, EngineProfile profile) {
+    private double prefillMillis(Candidate candidate, Prompt prompt, PromptCache cache) {
         int shared = prompt.sharedTokens();
         double own = Math.max(0, prompt.inputTokens() - shared) / settings.prefillTokensPerMilli();
-        return own + sharedMillis(candidate, home, shared, profile);
-    }
-
-    private double sharedMillis(Candidate candidate, Optional<Candidate> home, int shared, EngineProfile profile) {
-        if (home.isEmpty() || isSame(home.get(), candidate)) {
-            return 0;
+        if (cache.holds(candidate)) {
+            return own;
         }
         double read = shared / settings.prefillTokensPerMilli();
-        if (shared < MIN_TRANSFER_TOKENS) {
-            return read;
-        }
-        boolean sameZone =
-                home.get().upstream().zone().equals(candidate.upstream().zone());
-        double transfer = profile.transferMillis(shared) * (sameZone ? 1 : CROSS_ZONE_TRANSFER_FACTOR);
-        return Math.min(read, TRANSFER_SETUP_MILLIS + transfer);
-    }
-
-    private static Optional<String> cacheSource(Candidate candidate, Optional<Candidate> home, Prompt prompt) {
-        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
-            return Optional.empty();
-        }
-        return home.filter(other -> !isSame(other, candidate))
-                .map(Candidate::upstream)
-                .map(FleetUpstream::address);
+        return own
+                + cache.source(candidate)
+                        .map(source -> Math.min(read, source.millis()))
+                        .orElse(read);
     }
 
     private double callMillis(Candidate candidate, double serviceMillis) {
@@ -132,9 +119,6 @@
         return (waiting + serviceMillis) * load.speedPercent() / PERCENT + crowding + suspicionMillis(candidate);
     }
 
-    // An upstream with all slots taken costs at most this much more than an empty one, before requests wait.
-    private static final double CROWDING_MILLIS = 20;
-
     private double suspicionMillis(Candidate candidate) {
         UpstreamEstimate load = candidate.estimate();
         double silence = Math.max(0, load.oldestUnansweredMillis() - ORDINARY_WAIT_MILLIS);
@@ -142,10 +126,6 @@
         return silence + load.failures() * FAILURE_MILLIS + network;
     }
 
-    private static boolean isSame(Candidate a, Candidate b) {
-        return a.upstream().key().equals(b.upstream().key());
-    }
-
     private static Optional<Candidate> best(List<Candidate> candidates, ToDoubleFunction<Candidate> cost) {
         return candidates.stream().min(Comparator.comparingDouble(cost));
     }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/WeightsRule.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/WeightsRule.java
@@ -1,6 +1,8 @@
 package io.agatelane.core.fleet.query;
 
+import io.agatelane.core.fleet.NamedWeights;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * Keeps requests off engines whose weights were replaced too long ago.
@@ -8,32 +10,34 @@
  * <p>Answers the load of a roll-out that meets engines which were dark or restart with the weights they had.
  */
 public final class WeightsRule {
-    // Part of the allowed time that is left unused: reading the store, queueing at the engine.
-    private static final long MARGIN_MILLIS = 1_500;
+    // Part of the allowed time that is left unused: reading the store, and queueing at a busy engine.
+    private static final long MARGIN_MILLIS = 2_500;
 
     private WeightsRule() {}
 
     /**
      * The candidates that may begin a request.
      *
-     * @param newestVersion newest weights that the operator named; 0 when unknown
-     * @param namedAgoMillis how long ago this router saw that version named
-     * @param sawNaming whether it saw the version before, so that the age is the true one; a restarted router did not
      * @param allowedMillis time for which replaced weights may still be used
      */
     public static List<Candidate> allowed(
-            List<Candidate> candidates,
-            long newestVersion,
-            long namedAgoMillis,
-            boolean sawNaming,
-            long allowedMillis) {
-        if (sawNaming && namedAgoMillis < allowedMillis - MARGIN_MILLIS) {
-            return candidates;
-        }
+            List<Candidate> candidates, NamedWeights named, long nowMillis, long allowedMillis) {
         List<Candidate> newest = candidates.stream()
-                .filter(candidate -> candidate.weightsVersion() >= newestVersion)
+                .filter(candidate -> candidate.weightsVersion() >= named.newest())
+                .toList();
+        return candidates.stream()
+                .filter(candidate -> isAllowed(candidate, named, nowMillis, allowedMillis, newest.isEmpty()))
                 .toList();
-        boolean tooLate = namedAgoMillis >= allowedMillis - MARGIN_MILLIS;
-        return newest.isEmpty() && !tooLate ? candidates : newest;
+    }
+
+    private static boolean isAllowed(
+            Candidate candidate, NamedWeights named, long nowMillis, long allowedMillis, boolean noneIsNewest) {
+        Optional<NamedWeights.Naming> replaced = named.replaced(candidate.weightsVersion());
+        if (replaced.isEmpty()) {
+            return true;
+        }
+        boolean inTime = nowMillis - replaced.get().seenMillis() < allowedMillis - MARGIN_MILLIS;
+        // A restarted router does not know how long ago the version was named.
+        return inTime && (replaced.get().sawNaming() || noneIsNewest);
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
@@ -8,6 +8,7 @@
  * @param callerAddress where callers connect
  * @param readinessAddress where the platform asks whether this router takes new connections
  * @param metricsAddress where metrics are read
+ * @param peerAddress where other routers send hints over UDP
  * @param storeAddress IP:PORT of the platform's store
  * @param storeTimeoutMillis longest wait for an answer of the store
  * @param pollMillis pause between two reads of the store
@@ -28,6 +29,7 @@
         InetSocketAddress callerAddress,
         InetSocketAddress readinessAddress,
         InetSocketAddress metricsAddress,
+        InetSocketAddress peerAddress,
         String storeAddress,
         long storeTimeoutMillis,
         long pollMillis,
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
@@ -57,6 +57,7 @@
                 listen.address("callerAddress"),
                 listen.address("readinessAddress"),
                 listen.address("metricsAddress"),
+                listen.address("peerAddress"),
                 storeAddress == null ? "" : storeAddress.getAddress().getHostAddress() + ':' + storeAddress.getPort(),
                 store.integer("timeoutMillis", DEFAULT_STORE_TIMEOUT_MILLIS, 10, MAX_MILLIS),
                 store.integer("pollMillis", DEFAULT_POLL_MILLIS, 10, MAX_MILLIS),
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetFollower.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetFollower.java
@@ -44,6 +44,7 @@
     private final MetricRegistry metrics;
     private final List<Runnable> listeners = new ArrayList<>();
     private FleetView view = FleetView.EMPTY;
+    private List<KeyValue> routerItems = List.of();
     private Optional<KeyValue> rollout = Optional.empty();
     private boolean reachable = true;
     private long returnedMillis;
@@ -88,6 +89,11 @@
         return rollout;
     }
 
+    /** What the routers have written, as last read. */
+    public List<KeyValue> routerItems() {
+        return routerItems;
+    }
+
     private void read() {
         if (closed) {
             return;
@@ -122,6 +128,7 @@
             returnedMillis = timers.monotonicMillis();
             LOG.event("dependency_regained").with("dependency", "store").info();
         }
+        routerItems = read.routerItems();
         FleetView next = merge(read.view());
         RolloutRecord record = rolloutRecord(read.routerItems());
         next = new FleetView(next.config(), next.upstreams(), next.newestWeights(), record.reserved());
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -12,6 +12,7 @@
 import io.agatelane.node.io.http.MetricsHandler;
 import io.agatelane.node.util.EventLog;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -47,6 +48,8 @@
     private final FleetServer server;
     private final FleetFollower follower;
     private final WeightsRollout rollout;
+    private final RouterRegistry registry;
+    private final LoadGossip gossip;
     private final CountDownLatch closed = new CountDownLatch(1);
     private volatile boolean draining;
 
@@ -79,6 +82,17 @@
                 settings.callerAddress());
         RandomGenerator random = RandomGenerator.getDefault();
         follower = new FleetFollower(ports.source(), state, control, control, random, settings.pollMillis(), metrics);
+        registry = new RouterRegistry(
+                ports.store(), follower, control, control, random, settings.vmName(), settings.peerAddress());
+        gossip = new LoadGossip(
+                state,
+                registry,
+                control,
+                new Random(),
+                settings.vmName(),
+                control.epochMillis(),
+                settings.peerAddress(),
+                metrics);
         RolloutDuty duty = new RolloutDuty(
                 ports.store(),
                 control,
@@ -108,6 +122,8 @@
         FleetNode node = new FleetNode(settings, adapter);
         node.follower.subscribe(node::applyLimits);
         node.server.start();
+        node.registry.start();
+        node.gossip.start();
         node.follower.start();
         node.rollout.start();
         LOG.event("started")
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -4,8 +4,13 @@
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.core.fleet.NamedWeights;
+import io.agatelane.core.fleet.command.PeerLoad;
+import io.agatelane.core.fleet.command.PeerLoads;
+import io.agatelane.core.fleet.command.PlacementIndex;
+import io.agatelane.core.fleet.command.UpstreamEstimate;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.hash.Rendezvous;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -15,6 +20,11 @@
 
 /** What a router knows and has seen. Written by the control thread, read by the threads that serve requests. */
 public final class FleetState {
+    // Failures that have faded below this change no choice.
+    private static final double NOTEWORTHY_FAILURES = 0.1;
+
+    private final PeerLoads peers = new PeerLoads();
+    private final PlacementIndex placements = new PlacementIndex();
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
     private final Map<String, Long> seenWeights = new ConcurrentHashMap<>();
     private final Map<String, NamedWeights> named = new ConcurrentHashMap<>();
@@ -29,13 +39,10 @@
     /** Takes over what a read of the store has shown. */
     public void update(FleetView view, ConfigProof proof, Map<String, Long> loadedWeights) {
         boolean hasRead = knowledge.proof().isPresent();
+        NamedWeights.Naming naming = new NamedWeights.Naming(proof.monotonicMillis(), hasRead);
         view.newestWeights()
                 .forEach((model, version) -> named.merge(
-                        model,
-                        new NamedWeights(version, proof.monotonicMillis(), hasRead),
-                        (known, read) -> known.version() >= read.version()
-                                ? known
-                                : new NamedWeights(version, proof.monotonicMillis(), true)));
+                        model, NamedWeights.of(version, naming), (known, read) -> known.with(version, naming)));
         knowledge = new FleetKnowledge(view, Optional.of(proof), loadedWeights, named);
         Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
         loads.keySet().retainAll(present);
@@ -43,6 +50,33 @@
         replaced.retainAll(present);
     }
 
+    /** What the other routers have in flight. */
+    public PeerLoads peers() {
+        return peers;
+    }
+
+    /** Where shared prompt parts were sent. */
+    public PlacementIndex placements() {
+        return placements;
+    }
+
+    /** The load of an upstream over all routers. */
+    public UpstreamEstimate estimate(FleetUpstream upstream, long nowMillis) {
+        return load(upstream).estimate(peers.total(hash(upstream), nowMillis), nowMillis);
+    }
+
+    /** What this router tells the others. */
+    public List<PeerLoad> digest(long nowMillis) {
+        return knowledge.view().upstreams().stream()
+                .map(upstream -> load(upstream).digest(hash(upstream), nowMillis))
+                .filter(load -> load.inFlight() > 0 || load.failures() > NOTEWORTHY_FAILURES)
+                .toList();
+    }
+
+    private static long hash(FleetUpstream upstream) {
+        return Rendezvous.hash(upstream.key());
+    }
+
     /** The load of one start of an upstream. */
     public UpstreamLoad load(FleetUpstream upstream) {
         return loads.computeIfAbsent(upstream.key(), key -> new UpstreamLoad());
@@ -76,7 +110,7 @@
                 .filter(upstream -> !excluded.contains(upstream.key()) && !replaced.contains(upstream.key()))
                 .map(upstream -> new Candidate(
                         upstream,
-                        load(upstream).estimate(nowMillis),
+                        estimate(upstream, nowMillis),
                         model.map(name -> weightsVersion(known, upstream, name)).orElse(0L)))
                 .filter(candidate -> model.isEmpty() || candidate.weightsVersion() > 0)
                 .toList();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -188,7 +188,7 @@
                         view.newestWeights(),
                         reserved,
                         concurrentLoads(view) + RESERVED_AHEAD,
-                        upstream -> state.load(upstream).estimate(now).requests())
+                        upstream -> state.estimate(upstream, now).requests())
                 .forEach(upstream -> {
                     tasks.put(upstream.key(), new Task(upstream, now));
                     LOG.event("rollout_reserve")
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -15,6 +15,7 @@
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.Choice;
 import io.agatelane.core.fleet.query.EventFramer;
+import io.agatelane.core.fleet.query.PromptCache;
 import io.agatelane.core.fleet.query.WeightsRule;
 import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.api.Subscription;
@@ -53,8 +54,6 @@
     // An outdated proof is renewed by the next read of the store.
     private static final long STALE_RETRY_MILLIS = 500;
     private static final int MAX_PRIORITY = 9;
-    // Shorter shared parts are read again faster than they are copied.
-    private static final int MIN_CACHED_TOKENS = 500;
     // Run time of a plain call before any was seen.
     private static final double CALL_MILLIS = 40;
 
@@ -72,6 +71,8 @@
     private final Set<String> tried = new HashSet<>();
     private final EventFramer framer;
 
+    private PromptCache cache;
+    private Optional<String> saveTo = Optional.empty();
     private CallerWatch watch;
     private Subscription deadlineTimer;
     private Send current;
@@ -178,20 +179,23 @@
             FleetKnowledge known, List<Candidate> candidates, Prompt prompt, EngineProfile engine, long now) {
         Optional<NamedWeights> named = known.newestWeights(prompt.model());
         List<Candidate> allowed = named.map(weights -> WeightsRule.allowed(
-                        candidates,
-                        weights.version(),
-                        now - weights.seenMillis(),
-                        weights.sawNaming(),
-                        context.settings().weightsMillis()))
+                        candidates, weights, now, context.settings().weightsMillis()))
                 .orElse(candidates);
-        long newest = named.map(NamedWeights::version).orElse(0L);
-        return context.chooser().chooseForPrompt(allowed, prompt, engine, newest);
+        long newest = named.map(NamedWeights::newest).orElse(0L);
+        cache = new PromptCache(
+                context.state().placements(),
+                prompt,
+                engine,
+                known.config().flatMap(FleetConfig::cacheStore),
+                account.filter(FleetAccount::isolated).map(FleetAccount::name),
+                allowed);
+        return context.chooser().chooseForPrompt(allowed, prompt, engine, cache, newest);
     }
 
     private void send(FleetKnowledge known, Choice choice, long leftMillis) {
         tried.add(choice.candidate().upstream().key());
         HttpFields.Mutable headers = HttpFields.build();
-        context.ports().upstreams().encode(request.getHeaders(), upstreamCall(known, choice, leftMillis), headers);
+        context.ports().upstreams().encode(request.getHeaders(), upstreamCall(choice, leftMillis), headers);
         boolean hasBody =
                 body.length > 0 || HttpMethod.POST.is(request.getMethod()) || HttpMethod.PUT.is(request.getMethod());
         Send send = new Send(context, choice, sends + 1, this);
@@ -200,11 +204,11 @@
         send.start(request.getMethod(), request.getHttpURI().getPathQuery(), headers, body, hasBody);
     }
 
-    private UpstreamCall upstreamCall(FleetKnowledge known, Choice choice, long leftMillis) {
+    private UpstreamCall upstreamCall(Choice choice, long leftMillis) {
         FleetUpstream upstream = choice.candidate().upstream();
         long version = choice.candidate().weightsVersion();
         boolean isPrompt = version > 0;
-        Optional<String> salt = isPrompt ? Optional.of(salt(version)) : Optional.empty();
+        saveTo = isPrompt ? cache.saveTo(version) : Optional.empty();
         int priority = account.map(FleetAccount::priority)
                 .filter(OptionalInt::isPresent)
                 .map(OptionalInt::getAsInt)
@@ -215,40 +219,12 @@
                 leftMillis,
                 isPrompt ? OptionalInt.of(Math.min(MAX_PRIORITY, priority)) : OptionalInt.empty(),
                 isPrompt ? OptionalLong.of(version) : OptionalLong.empty(),
-                salt,
-                isPrompt ? cacheSource(known, choice) : Optional.empty(),
-                isPrompt ? cacheStore(known, salt.get()) : Optional.empty(),
+                isPrompt ? Optional.of(cache.salt(version)) : Optional.empty(),
+                choice.cacheSource(),
+                saveTo,
                 framer == null ? Optional.empty() : framer.lastEventId());
     }
 
-    // Cached parts of other weights, or of an isolated account, have another name and are never found.
-    private String salt(long version) {
-        return account.filter(FleetAccount::isolated)
-                .map(isolated -> version + "/" + isolated.name())
-                .orElse(Long.toString(version));
-    }
-
-    private Optional<String> cacheSource(FleetKnowledge known, Choice choice) {
-        if (caller.prompt().isEmpty() || caller.prompt().get().sharedTokens() < MIN_CACHED_TOKENS) {
-            return Optional.empty();
-        }
-        return choice.cacheSource().or(() -> storeAddress(known));
-    }
-
-    private Optional<String> cacheStore(FleetKnowledge known, String salt) {
-        Prompt prompt = caller.prompt().orElseThrow();
-        if (prompt.sharedTokens() < MIN_CACHED_TOKENS) {
-            return Optional.empty();
-        }
-        boolean isNew = context.savedParts()
-                .add(salt + '/' + prompt.sharedPrefixId(), context.timers().monotonicMillis());
-        return isNew ? storeAddress(known) : Optional.empty();
-    }
-
-    private static Optional<String> storeAddress(FleetKnowledge known) {
-        return known.config().flatMap(FleetConfig::cacheStore).map(store -> store.address());
-    }
-
     @Override
     public synchronized boolean onHead(Send send, int newStatus, HttpFields headers, UpstreamAnswer answer) {
         if (done || send != current) {
@@ -278,6 +254,9 @@
         }
         if (!failed) {
             load.succeeded(now);
+            if (cache != null) {
+                cache.record(send.choice().candidate(), saveTo.isPresent());
+            }
             answer.weightsVersion().ifPresent(version -> context.state().sawWeights(send.upstream(), version));
         }
         if (!committed) {
@@ -298,7 +277,7 @@
             long newest = context.state()
                     .knowledge()
                     .newestWeights(caller.prompt().get().model())
-                    .map(NamedWeights::version)
+                    .map(NamedWeights::newest)
                     .orElse(0L);
             context.state().sawWeights(send.upstream(), answer.weightsVersion().orElse(newest));
         } else {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,7 +1,6 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
-import io.agatelane.core.fleet.command.RecentParts;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
 import io.agatelane.node.api.FleetPorts;
@@ -18,10 +17,6 @@
     private static final int ROUTERS_SHARING_SLACK = 20;
     // Part of the ratio that is used, so that requests that the judge of the budget does not count cannot break it.
     private static final double USED_RATIO = 0.7;
-    // A part that a store has dropped since is saved again after this time; the store turns over in about a minute.
-    private static final long SAVED_MEMORY_MILLIS = 15_000;
-    private static final int SAVED_CAPACITY = 10_000;
-
     private final FleetSettings settings;
     private final FleetPorts ports;
     private final FleetState state;
@@ -29,7 +24,6 @@
     private final HttpClient client;
     private final TimerService timers;
     private final MetricRegistry metrics;
-    private final RecentParts savedParts = new RecentParts(SAVED_MEMORY_MILLIS, SAVED_CAPACITY);
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private volatile boolean draining;
     private volatile boolean refusing;
@@ -80,10 +74,6 @@
         return metrics;
     }
 
-    RecentParts savedParts() {
-        return savedParts;
-    }
-
     /** Budget of repeated sends to a service. */
     WindowedRetryBudget budget(String service) {
         return budgets.computeIfAbsent(
--- a/agatelane-node/src/main/java/io/agatelane/node/io/gossip/UdpSocket.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/gossip/UdpSocket.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A bound UDP socket. */
-final class UdpSocket implements AutoCloseable {
+public final class UdpSocket implements AutoCloseable {
     private final EventLoopGroup group;
     private final Channel channel;
 
@@ -28,7 +28,7 @@
 
     /** Takes packets on the thread of the socket. */
     @FunctionalInterface
-    interface Receiver {
+    public interface Receiver {
         void receive(InetSocketAddress from, byte[] bytes);
     }
 
@@ -37,7 +37,7 @@
      *
      * @throws AgatelaneException with {@code INVALID_SETTINGS} when the address cannot be bound
      */
-    static UdpSocket bind(InetSocketAddress address, String threadName, Receiver receiver) {
+    public static UdpSocket bind(InetSocketAddress address, String threadName, Receiver receiver) {
         EventLoopGroup group = new NioEventLoopGroup(1, new DefaultThreadFactory(threadName, true));
         ChannelFuture bound = new Bootstrap()
                 .group(group)
@@ -58,7 +58,8 @@
         return ((InetSocketAddress) channel.localAddress()).getPort();
     }
 
-    void send(InetSocketAddress target, byte[] bytes) {
+    /** Sends a packet; it may be lost. */
+    public void send(InetSocketAddress target, byte[] bytes) {
         var unused =
                 channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target), channel.voidPromise());
     }
