Put short prompts first, refuse by queue length, ask the cache store, announce reservations directly

Change: priority of engines by account, route and length of the prompt; a prompt that would queue for more than 0.8 of its objective at every engine is refused at once; the store is offered as source also to engines that should hold the parts; its restart is noticed; reservations travel by datagram, so an engine is out of service 0.35 s before its order.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoad.java
@@ -4,7 +4,8 @@
  * What another router says of an upstream.
  *
  * @param upstream hash of the upstream's key
+ * @param backlog prefill work of requests that have no answer yet
  * @param silentMillis age of the oldest request without an answer
  * @param failures recent failures, faded with time
  */
-public record PeerLoad(long upstream, int inFlight, int pendingPrefillMillis, int silentMillis, double failures) {}
+public record PeerLoad(long upstream, int inFlight, PrefillBacklog backlog, int silentMillis, double failures) {}
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
@@ -66,17 +66,17 @@
 
     private static PeerTotal total(List<PeerLoad> loads) {
         int inFlight = 0;
-        int prefillMillis = 0;
+        PrefillBacklog backlog = PrefillBacklog.EMPTY;
         int longestMillis = 0;
         int secondMillis = 0;
         double failures = 0;
         for (PeerLoad load : loads) {
             inFlight += load.inFlight();
-            prefillMillis += load.pendingPrefillMillis();
+            backlog = backlog.plus(load.backlog());
             failures += load.failures();
             secondMillis = Math.max(secondMillis, Math.min(longestMillis, load.silentMillis()));
             longestMillis = Math.max(longestMillis, load.silentMillis());
         }
-        return new PeerTotal(inFlight, prefillMillis, secondMillis, failures);
+        return new PeerTotal(inFlight, backlog, secondMillis, failures);
     }
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerTotal.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerTotal.java
@@ -3,9 +3,10 @@
 /**
  * What all other routers together say of an upstream.
  *
+ * @param backlog prefill work of requests that have no answer yet
  * @param silentMillis age of the oldest request without an answer that at least two routers agree on
  */
-public record PeerTotal(int inFlight, int pendingPrefillMillis, int silentMillis, double failures) {
+public record PeerTotal(int inFlight, PrefillBacklog backlog, int silentMillis, double failures) {
     /** No other router has said anything. */
-    public static final PeerTotal NONE = new PeerTotal(0, 0, 0, 0);
+    public static final PeerTotal NONE = new PeerTotal(0, PrefillBacklog.EMPTY, 0, 0);
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
@@ -18,7 +18,7 @@
 
     private final Map<Object, Long> unansweredSinceMillis = new HashMap<>();
     private int inFlight;
-    private double pendingPrefillMillis;
+    private PrefillBacklog backlog = PrefillBacklog.EMPTY;
     private double others;
     private double speedPercent = SPEED_AS_USUAL_PERCENT;
     private long reportedMillis;
@@ -26,22 +26,22 @@
     private long failedMillis;
 
     /** Records that a request is about to be sent. */
-    public synchronized void sent(Object call, double prefillMillis, long nowMillis) {
+    public synchronized void sent(Object call, int priority, double prefillMillis, long nowMillis) {
         inFlight++;
-        pendingPrefillMillis += prefillMillis;
+        backlog = backlog.with(priority, prefillMillis);
         unansweredSinceMillis.put(call, nowMillis);
     }
 
     /** Records the head of an answer. */
-    public synchronized void answered(Object call, double prefillMillis) {
+    public synchronized void answered(Object call, int priority, double prefillMillis) {
         if (unansweredSinceMillis.remove(call) != null) {
-            pendingPrefillMillis = Math.max(0, pendingPrefillMillis - prefillMillis);
+            backlog = backlog.with(priority, -prefillMillis);
         }
     }
 
     /** Records the end of a request that was sent. */
-    public synchronized void ended(Object call, double prefillMillis) {
-        answered(call, prefillMillis);
+    public synchronized void ended(Object call, int priority, double prefillMillis) {
+        answered(call, priority, prefillMillis);
         inFlight--;
     }
 
@@ -69,7 +69,7 @@
         double reportedOthers = others * halved(nowMillis - reportedMillis, OTHERS_HALF_LIFE_MILLIS);
         return new UpstreamEstimate(
                 inFlight + Math.max(reportedOthers, peers.inFlight()),
-                pendingPrefillMillis + peers.pendingPrefillMillis(),
+                backlog.plus(peers.backlog()),
                 speed(nowMillis),
                 Math.max(silentMillis(nowMillis), peers.silentMillis()),
                 failures(nowMillis) + peers.failures());
@@ -77,12 +77,7 @@
 
     /** What the other routers are told. */
     public synchronized PeerLoad digest(long upstream, long nowMillis) {
-        return new PeerLoad(
-                upstream,
-                inFlight,
-                (int) Math.round(pendingPrefillMillis),
-                (int) silentMillis(nowMillis),
-                failures(nowMillis));
+        return new PeerLoad(upstream, inFlight, backlog, (int) silentMillis(nowMillis), failures(nowMillis));
     }
 
     // A slow moment passes; without a newer report the upstream counts as usual again.
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
@@ -80,9 +80,12 @@
         if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
             return Optional.empty();
         }
+        // An engine that still has the parts copies nothing, so naming a source costs nothing when the guess was right.
+        boolean held = holds(target);
         Optional<Source> best = Optional.empty();
         for (Candidate other : candidates) {
-            boolean usable = other != target && other.weightsVersion() == target.weightsVersion() && holds(other);
+            boolean usable =
+                    !held && other != target && other.weightsVersion() == target.weightsVersion() && holds(other);
             if (usable) {
                 double millis = transferMillis(
                         profile, other.upstream().zone(), target.upstream().zone());
@@ -116,8 +119,8 @@
         int read = holds(chosen) ? own : prompt.inputTokens();
         index.placed(new PlacementIndex.Placement(part, holder(chosen.upstream()), Math.max(0, read)));
         if (saved) {
-            store.ifPresent(target -> index.placed(
-                    new PlacementIndex.Placement(part, Rendezvous.hash(target.address()), prompt.inputTokens())));
+            store.ifPresent(target ->
+                    index.placed(new PlacementIndex.Placement(part, storeHolder(target), prompt.inputTokens())));
         }
     }
 
@@ -125,7 +128,7 @@
         return store.isPresent()
                 && index.holds(
                         part(weightsVersion),
-                        Rendezvous.hash(store.get().address()),
+                        storeHolder(store.get()),
                         store.get().capacityTokens() * STORE_KEPT_SHARE);
     }
 
@@ -145,4 +148,9 @@
     private static long holder(FleetUpstream upstream) {
         return Rendezvous.hash(upstream.key());
     }
+
+    // A store that has restarted is empty.
+    private static long storeHolder(CacheStore store) {
+        return Rendezvous.hash(store.address() + '#' + store.incarnation());
+    }
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -1,6 +1,5 @@
 package io.agatelane.core.fleet.query;
 
-import io.agatelane.core.fleet.EngineProfile;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.command.UpstreamEstimate;
 import io.agatelane.core.hash.Rendezvous;
@@ -16,8 +15,10 @@
  * and bursts, in which they leave it for an engine that copies the prefix.
  */
 public final class UpstreamChooser {
-    // Price of an answer on replaced weights: a fifth of it is lost, so a wait well under the objective is worth while.
-    private static final double OLD_WEIGHTS_MILLIS = 100;
+    // Part of the latency objective that a request rather waits than be answered on replaced weights, which costs a
+    // fifth
+    // of the answer's worth; a late answer costs more.
+    private static final double OLD_WEIGHTS_SHARE = 0.4;
     // A silent upstream is avoided once its oldest request has waited longer than an ordinary first token takes.
     private static final double ORDINARY_WAIT_MILLIS = 150;
     // Half of the requests of an upstream that fails in half of them have to be sent again, after about this time.
@@ -39,25 +40,24 @@
     /** Picks an upstream of a service whose requests carry no prompt. */
     public Optional<Choice> chooseForCall(List<Candidate> candidates, double serviceMillis) {
         return best(candidates, candidate -> callMillis(candidate, serviceMillis))
-                .map(candidate -> new Choice(candidate, callMillis(candidate, serviceMillis), 0, Optional.empty()));
+                .map(candidate -> new Choice(
+                        candidate,
+                        callMillis(candidate, serviceMillis),
+                        callQueueMillis(candidate, serviceMillis),
+                        0,
+                        Optional.empty()));
     }
 
-    /**
-     * Picks an engine.
-     *
-     * @param newestVersion newest weights that the operator named; 0 when unknown
-     */
-    public Optional<Choice> chooseForPrompt(
-            List<Candidate> candidates, Prompt prompt, EngineProfile profile, PromptCache cache, long newestVersion) {
-        Optional<Candidate> home = home(candidates, prompt, newestVersion);
-        return best(candidates, candidate -> promptMillis(candidate, home, prompt, profile, cache, newestVersion))
+    /** Picks an engine. */
+    public Optional<Choice> chooseForPrompt(List<Candidate> candidates, PromptRequest request, PromptCache cache) {
+        Optional<Candidate> home = home(candidates, request.prompt(), request.newestVersion());
+        return best(candidates, candidate -> promptMillis(candidate, home, request, cache))
                 .map(candidate -> new Choice(
                         candidate,
-                        promptMillis(candidate, home, prompt, profile, cache, newestVersion),
-                        prefillMillis(candidate, prompt, cache),
-                        cache.holds(candidate)
-                                ? Optional.empty()
-                                : cache.source(candidate).map(PromptCache.Source::address)));
+                        promptMillis(candidate, home, request, cache),
+                        queueMillis(candidate, request),
+                        prefillMillis(candidate, request.prompt(), cache),
+                        cache.source(candidate).map(PromptCache.Source::address)));
     }
 
     /** The engine at which all routers read a prefix first, among those with the newest weights if there are any. */
@@ -78,23 +78,27 @@
     }
 
     private double promptMillis(
-            Candidate candidate,
-            Optional<Candidate> home,
-            Prompt prompt,
-            EngineProfile profile,
-            PromptCache cache,
-            long newestVersion) {
+            Candidate candidate, Optional<Candidate> home, PromptRequest request, PromptCache cache) {
         UpstreamEstimate load = candidate.estimate();
-        double slotWait = Math.max(0, load.requests() + 1 - profile.slots()) * RUN_MILLIS / profile.slots();
-        double crowding = load.requests() / profile.slots() * CROWDING_MILLIS;
-        double millis = load.pendingPrefillMillis() + slotWait + crowding + prefillMillis(candidate, prompt, cache);
-        millis = millis * load.speedPercent() / PERCENT + suspicionMillis(candidate);
+        double work = prefillMillis(candidate, request.prompt(), cache) * load.speedPercent() / PERCENT;
+        double millis = queueMillis(candidate, request) + work + suspicionMillis(candidate);
         boolean away = home.isPresent()
                 && home.get() != candidate
                 && !cache.holds(candidate)
                 && !cache.isHeldAnywhere(candidate);
         millis += away ? NOT_HOME_MILLIS : 0;
-        return candidate.weightsVersion() < newestVersion ? millis + OLD_WEIGHTS_MILLIS : millis;
+        return candidate.weightsVersion() < request.newestVersion()
+                ? millis + request.objectiveMillis() * OLD_WEIGHTS_SHARE
+                : millis;
+    }
+
+    private static double queueMillis(Candidate candidate, PromptRequest request) {
+        UpstreamEstimate load = candidate.estimate();
+        int slots = Math.max(1, request.profile().slots());
+        double slotWait = Math.max(0, load.requests() + 1 - slots) * RUN_MILLIS / slots;
+        double crowding = load.requests() / slots * CROWDING_MILLIS;
+        double prefill = load.backlog().before(request.priority());
+        return (prefill + slotWait + crowding) * load.speedPercent() / PERCENT;
     }
 
     private double prefillMillis(Candidate candidate, Prompt prompt, PromptCache cache) {
@@ -111,12 +115,18 @@
     }
 
     private double callMillis(Candidate candidate, double serviceMillis) {
+        UpstreamEstimate load = candidate.estimate();
+        double run = serviceMillis * load.speedPercent() / PERCENT;
+        return callQueueMillis(candidate, serviceMillis) + run + suspicionMillis(candidate);
+    }
+
+    private static double callQueueMillis(Candidate candidate, double serviceMillis) {
         UpstreamEstimate load = candidate.estimate();
         int slots = Math.max(1, candidate.upstream().slots());
         double waiting = Math.max(0, load.requests() + 1 - slots) / slots * serviceMillis;
         // Among upstreams with a free slot the emptier one is better: some slow down when they are nearly full.
         double crowding = load.requests() / slots * CROWDING_MILLIS;
-        return (waiting + serviceMillis) * load.speedPercent() / PERCENT + crowding + suspicionMillis(candidate);
+        return waiting * load.speedPercent() / PERCENT + crowding;
     }
 
     private double suspicionMillis(Candidate candidate) {
--- a/agatelane-node/src/main/java/io/agatelane/node/api/EngineControl.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/EngineControl.java
@@ -8,6 +8,9 @@
     /** Reads the state of an engine. */
     CompletableFuture<EngineStatus> status(FleetUpstream upstream);
 
+    /** Asks a store of kept KV cache for its incarnation, which changes when it restarts. */
+    CompletableFuture<Long> cacheStoreIncarnation(String address);
+
     /**
      * Orders an engine to load weights after its runs have finished.
      *
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -37,7 +37,7 @@
     // Part of the grace period that is left for ending the process.
     private static final long EXIT_MILLIS = 1_000;
     private static final long DRAIN_CHECK_MILLIS = 50;
-    // A record that was published is read by every router within a poll and an answer of the store.
+    // Delay of a packet or of an answer of the store, and the timer of the reader.
     private static final long ANNOUNCE_SLACK_MILLIS = 150;
 
     private final FleetSettings settings;
@@ -50,6 +50,7 @@
     private final WeightsRollout rollout;
     private final RouterRegistry registry;
     private final LoadGossip gossip;
+    private final CacheStoreProbe cacheStoreProbe;
     private final CountDownLatch closed = new CountDownLatch(1);
     private volatile boolean draining;
 
@@ -93,6 +94,7 @@
                 control.epochMillis(),
                 settings.peerAddress(),
                 metrics);
+        cacheStoreProbe = new CacheStoreProbe(state, registry, ports.engines(), control, control);
         RolloutDuty duty = new RolloutDuty(
                 ports.store(),
                 control,
@@ -109,7 +111,7 @@
                 control,
                 random,
                 settings.vmName(),
-                settings.pollMillis() + ANNOUNCE_SLACK_MILLIS,
+                () -> Math.min(settings.pollMillis(), gossip.roundMillis()) + ANNOUNCE_SLACK_MILLIS,
                 metrics);
     }
 
@@ -124,6 +126,7 @@
         node.server.start();
         node.registry.start();
         node.gossip.start();
+        node.cacheStoreProbe.start();
         node.follower.start();
         node.rollout.start();
         LOG.event("started")
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -1,5 +1,6 @@
 package io.agatelane.node.fleet;
 
+import io.agatelane.core.fleet.CacheStore;
 import io.agatelane.core.fleet.ConfigProof;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
@@ -29,6 +30,9 @@
     private final Map<String, Long> seenWeights = new ConcurrentHashMap<>();
     private final Map<String, NamedWeights> named = new ConcurrentHashMap<>();
     private final Set<String> replaced = ConcurrentHashMap.newKeySet();
+    private final Map<Long, Long> reservedUntilMillis = new ConcurrentHashMap<>();
+    private volatile Optional<CacheStore> cacheStore = Optional.empty();
+    private volatile RolloutHints rolloutHints = RolloutHints.NONE;
     private volatile FleetKnowledge knowledge =
             new FleetKnowledge(FleetView.EMPTY, Optional.empty(), Map.of(), Map.of());
 
@@ -48,6 +52,39 @@
         loads.keySet().retainAll(present);
         seenWeights.keySet().retainAll(present);
         replaced.retainAll(present);
+        reservedUntilMillis.values().removeIf(until -> until < proof.monotonicMillis());
+    }
+
+    /** The store of kept KV cache; empty while it does not answer. */
+    public Optional<CacheStore> cacheStore() {
+        return cacheStore;
+    }
+
+    /** Takes over whether the store of kept KV cache answers. */
+    void cacheStore(Optional<CacheStore> store) {
+        cacheStore = store;
+    }
+
+    /** Upstreams that the holder of the roll-out has just reserved, and for how long to believe it. */
+    public void heardReserved(long upstream, long untilMillis) {
+        reservedUntilMillis.merge(upstream, untilMillis, Math::max);
+    }
+
+    /** Weights that the holder of the roll-out has just seen loaded. */
+    public void heardWeights(long upstream, long version) {
+        knowledge.view().upstreams().stream()
+                .filter(known -> hash(known) == upstream)
+                .forEach(known -> sawWeights(known, version));
+    }
+
+    /** What this router as holder of the roll-out tells the others. */
+    public RolloutHints rolloutHints() {
+        return rolloutHints;
+    }
+
+    /** Takes over what to tell the others. */
+    void rolloutHints(RolloutHints hints) {
+        rolloutHints = hints;
     }
 
     /** What the other routers have in flight. */
@@ -73,7 +110,12 @@
                 .toList();
     }
 
-    private static long hash(FleetUpstream upstream) {
+    private boolean isReserved(FleetKnowledge known, FleetUpstream upstream, long nowMillis) {
+        return known.view().reserved().contains(upstream.id())
+                || reservedUntilMillis.getOrDefault(hash(upstream), 0L) > nowMillis;
+    }
+
+    static long hash(FleetUpstream upstream) {
         return Rendezvous.hash(upstream.key());
     }
 
@@ -115,8 +157,7 @@
                 .filter(candidate -> model.isEmpty() || candidate.weightsVersion() > 0)
                 .toList();
         List<Candidate> inService = all.stream()
-                .filter(candidate ->
-                        !known.view().reserved().contains(candidate.upstream().id()))
+                .filter(candidate -> !isReserved(known, candidate.upstream(), nowMillis))
                 .toList();
         return inService.isEmpty() ? all : inService;
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -4,10 +4,12 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.agatelane.core.fleet.command.PeerLoad;
 import io.agatelane.core.fleet.command.PlacementIndex.Placement;
+import io.agatelane.core.fleet.command.PrefillBacklog;
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.io.gossip.UdpSocket;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.wire.peer.LoadDigest;
+import io.agatelane.wire.peer.LoadedWeightsEntry;
 import io.agatelane.wire.peer.PlacementEntry;
 import io.agatelane.wire.peer.UpstreamLoadEntry;
 import java.net.InetSocketAddress;
@@ -22,6 +24,9 @@
     private static final long PERIOD_MILLIS = 200;
     // Packets in one round. A large fleet is told in turns, so that the bytes of a router do not grow with the fleet.
     private static final int MAX_TARGETS = 10;
+    // Longer than a round of packets and than the store's record needs; a holder that is gone reserves nothing for
+    // long.
+    private static final long RESERVED_MILLIS = 1_000;
     private static final double PERCENT = 100;
 
     private final FleetState state;
@@ -61,6 +66,12 @@
         timers.every("load-gossip", PERIOD_MILLIS, this::send);
     }
 
+    /** Time in which every other router is sent a packet. */
+    long roundMillis() {
+        int rounds = 1 + (registry.others().size() - 1) / MAX_TARGETS;
+        return PERIOD_MILLIS * Math.max(1, rounds);
+    }
+
     private void send() {
         List<InetSocketAddress> others = registry.others();
         if (others.isEmpty()) {
@@ -83,7 +94,7 @@
             digest.addLoads(UpstreamLoadEntry.newBuilder()
                     .setUpstream(load.upstream())
                     .setInFlight(load.inFlight())
-                    .setPendingPrefillMillis(load.pendingPrefillMillis())
+                    .addAllPrefillMillis(load.backlog().figures())
                     .setSilentMillis(load.silentMillis())
                     .setFailuresPercent((int) Math.round(load.failures() * PERCENT)));
         }
@@ -93,6 +104,11 @@
                     .setHolder(placement.holder())
                     .setTokens(placement.tokens()));
         }
+        RolloutHints hints = state.rolloutHints();
+        digest.addAllReserved(hints.reserved());
+        hints.loaded()
+                .forEach((upstream, version) -> digest.addLoaded(
+                        LoadedWeightsEntry.newBuilder().setUpstream(upstream).setVersion(version)));
         return digest.build();
     }
 
@@ -103,7 +119,7 @@
                     .map(entry -> new PeerLoad(
                             entry.getUpstream(),
                             entry.getInFlight(),
-                            entry.getPendingPrefillMillis(),
+                            PrefillBacklog.of(entry.getPrefillMillisList()),
                             entry.getSilentMillis(),
                             entry.getFailuresPercent() / PERCENT))
                     .toList();
@@ -114,6 +130,9 @@
                             digest.getSequence(),
                             loads,
                             timers.monotonicMillis());
+            long until = timers.monotonicMillis() + RESERVED_MILLIS;
+            digest.getReservedList().forEach(upstream -> state.heardReserved(upstream, until));
+            digest.getLoadedList().forEach(entry -> state.heardWeights(entry.getUpstream(), entry.getVersion()));
             digest.getPlacementsList().forEach(entry -> state.placements()
                     .heard(new Placement(entry.getPart(), entry.getHolder(), entry.getTokens())));
         } catch (InvalidProtocolBufferException e) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -4,6 +4,7 @@
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.core.fleet.query.RolloutPlan;
+import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.node.api.EngineControl;
 import io.agatelane.node.api.EngineStatus;
 import io.agatelane.node.api.OrderAnswer;
@@ -20,6 +21,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 /**
@@ -50,7 +52,7 @@
     private final Executor control;
     private final RandomGenerator random;
     private final String vmName;
-    private final long announceMillis;
+    private final LongSupplier announceMillis;
     private final MetricRegistry metrics;
     private final Map<String, Task> tasks = new LinkedHashMap<>();
     private final Map<String, Long> loaded = new HashMap<>();
@@ -85,7 +87,7 @@
             Executor control,
             RandomGenerator random,
             String vmName,
-            long announceMillis,
+            LongSupplier announceMillis,
             MetricRegistry metrics) {
         this.state = state;
         this.follower = follower;
@@ -119,12 +121,14 @@
         }
         if (!duty.isHeld()) {
             tasks.clear();
+            state.rolloutHints(RolloutHints.NONE);
             seekDuty();
             return;
         }
         FleetView view = state.knowledge().view();
         finishTasks(view);
         planTasks(view);
+        state.rolloutHints(hints());
         duty.publish(record());
         duty.published().ifPresent(this::markPublished);
         int concurrent = concurrentLoads(view);
@@ -148,11 +152,19 @@
         } else if (takeAtMillis == Long.MAX_VALUE) {
             takeAtMillis = now + random.nextLong(TAKE_SPREAD_MILLIS);
         } else if (now >= takeAtMillis) {
-            takeAtMillis = now + announceMillis;
+            takeAtMillis = now + announceMillis.getAsLong();
             duty.tryTake();
         }
     }
 
+    private RolloutHints hints() {
+        Set<Long> reserved = new HashSet<>();
+        tasks.values().forEach(task -> reserved.add(FleetState.hash(task.upstream)));
+        Map<Long, Long> versions = new HashMap<>();
+        loaded.forEach((key, version) -> versions.put(Rendezvous.hash(key), version));
+        return new RolloutHints(reserved, versions);
+    }
+
     private RolloutRecord record() {
         Set<String> reserved = new HashSet<>();
         tasks.values().forEach(task -> reserved.add(task.upstream.id()));
@@ -226,7 +238,7 @@
 
     private void advance(Task task) {
         long now = timers.monotonicMillis();
-        boolean announced = task.publishedMillis >= 0 && now - task.publishedMillis >= announceMillis;
+        boolean announced = task.publishedMillis >= 0 && now - task.publishedMillis >= announceMillis.getAsLong();
         if (!announced || task.asking || now < task.askAtMillis) {
             return;
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/CallLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/CallLog.java
@@ -42,6 +42,8 @@
                 .with("upstream", chosen.upstream().key())
                 .with("weights", chosen.weightsVersion())
                 .with("expected_ms", choice.expectedMillis())
+                .with("queue_ms", choice.queueMillis())
+                .with("prefill_ms", choice.prefillMillis())
                 .with("requests", chosen.estimate().requests())
                 .with("silent_ms", chosen.estimate().oldestUnansweredMillis())
                 .with("failures", chosen.estimate().failures())
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -5,7 +5,6 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.EngineProfile;
 import io.agatelane.core.fleet.FleetAccount;
-import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetService;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.NamedWeights;
@@ -14,8 +13,11 @@
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.Choice;
+import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EventFramer;
 import io.agatelane.core.fleet.query.PromptCache;
+import io.agatelane.core.fleet.query.PromptRequest;
+import io.agatelane.core.fleet.query.QueueRule;
 import io.agatelane.core.fleet.query.WeightsRule;
 import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.api.Subscription;
@@ -53,7 +55,7 @@
     private static final long BUSY_RETRY_MILLIS = 150;
     // An outdated proof is renewed by the next read of the store.
     private static final long STALE_RETRY_MILLIS = 500;
-    private static final int MAX_PRIORITY = 9;
+
     // Run time of a plain call before any was seen.
     private static final double CALL_MILLIS = 40;
 
@@ -69,6 +71,7 @@
     private final long deadlineMillis;
     private final String service;
     private final Set<String> tried = new HashSet<>();
+    private final int priority;
     private final EventFramer framer;
 
     private PromptCache cache;
@@ -108,6 +111,10 @@
         long allowedMillis = route.timeoutMillis() > 0 ? Math.min(callerMillis, route.timeoutMillis()) : callerMillis;
         this.deadlineMillis = arrivedMillis + allowedMillis;
         this.service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
+        this.priority = caller.prompt()
+                .map(prompt -> EnginePriority.of(
+                        account.map(FleetAccount::priority).orElse(OptionalInt.empty()), route.priority(), prompt))
+                .orElse(0);
         this.framer = route.resumable() ? new EventFramer() : null;
     }
 
@@ -164,6 +171,16 @@
             throw new AgatelaneException(FailureType.NO_UPSTREAM, "no upstream of " + service + " takes work")
                     .withRetryAfterMillis(BUSY_RETRY_MILLIS);
         }
+        OptionalLong busyMillis = sends == 0 && prompt.isPresent()
+                ? QueueRule.retryAfterMillis(choice.get(), route.latencyObjectiveMillis())
+                : OptionalLong.empty();
+        if (busyMillis.isPresent()) {
+            throw new AgatelaneException(
+                            FailureType.OVERLOADED,
+                            "every engine has a queue of "
+                                    + Math.round(choice.get().queueMillis()) + " ms or more")
+                    .withRetryAfterMillis(busyMillis.getAsLong());
+        }
         double expected = choice.get().expectedMillis();
         if (expected > leftMillis) {
             long later = Math.max(BUSY_RETRY_MILLIS, Math.round(expected - leftMillis));
@@ -186,10 +203,11 @@
                 context.state().placements(),
                 prompt,
                 engine,
-                known.config().flatMap(FleetConfig::cacheStore),
+                context.state().cacheStore(),
                 account.filter(FleetAccount::isolated).map(FleetAccount::name),
                 allowed);
-        return context.chooser().chooseForPrompt(allowed, prompt, engine, cache, newest);
+        PromptRequest wanted = new PromptRequest(prompt, engine, priority, newest, route.latencyObjectiveMillis());
+        return context.chooser().chooseForPrompt(allowed, wanted, cache);
     }
 
     private void send(FleetKnowledge known, Choice choice, long leftMillis) {
@@ -198,7 +216,7 @@
         context.ports().upstreams().encode(request.getHeaders(), upstreamCall(choice, leftMillis), headers);
         boolean hasBody =
                 body.length > 0 || HttpMethod.POST.is(request.getMethod()) || HttpMethod.PUT.is(request.getMethod());
-        Send send = new Send(context, choice, sends + 1, this);
+        Send send = new Send(context, choice, priority, sends + 1, this);
         current = send;
         CallLog.sent(context, caller.id(), send.number(), choice, known);
         send.start(request.getMethod(), request.getHttpURI().getPathQuery(), headers, body, hasBody);
@@ -209,15 +227,12 @@
         long version = choice.candidate().weightsVersion();
         boolean isPrompt = version > 0;
         saveTo = isPrompt ? cache.saveTo(version) : Optional.empty();
-        int priority = account.map(FleetAccount::priority)
-                .filter(OptionalInt::isPresent)
-                .map(OptionalInt::getAsInt)
-                .orElse(route.priority());
+
         return new UpstreamCall(
                 upstream.id(),
                 account.map(FleetAccount::name),
                 leftMillis,
-                isPrompt ? OptionalInt.of(Math.min(MAX_PRIORITY, priority)) : OptionalInt.empty(),
+                isPrompt ? OptionalInt.of(priority) : OptionalInt.empty(),
                 isPrompt ? OptionalLong.of(version) : OptionalLong.empty(),
                 isPrompt ? Optional.of(cache.salt(version)) : Optional.empty(),
                 choice.cacheSource(),
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/Send.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/Send.java
@@ -40,6 +40,7 @@
 
     private final ForwardContext context;
     private final Choice choice;
+    private final int priority;
     private final int number;
     private final Listener listener;
     private final UpstreamLoad load;
@@ -48,7 +49,8 @@
     private Request request;
     private volatile boolean answered;
 
-    Send(ForwardContext context, Choice choice, int number, Listener listener) {
+    Send(ForwardContext context, Choice choice, int priority, int number, Listener listener) {
+        this.priority = priority;
         this.context = context;
         this.choice = choice;
         this.number = number;
@@ -59,7 +61,7 @@
     /** Sends the request. */
     void start(String method, String pathQuery, HttpFields headers, byte[] body, boolean hasBody) {
         FleetUpstream upstream = choice.candidate().upstream();
-        load.sent(this, choice.prefillMillis(), context.timers().monotonicMillis());
+        load.sent(this, priority, choice.prefillMillis(), context.timers().monotonicMillis());
         request = context.client()
                 .newRequest("http://" + upstream.address())
                 .method(method)
@@ -105,7 +107,7 @@
     @Override
     public void onHeaders(Response response) {
         answered = true;
-        load.answered(this, choice.prefillMillis());
+        load.answered(this, priority, choice.prefillMillis());
         UpstreamAnswer answer = context.ports().upstreams().decode(response.getStatus(), response.getHeaders());
         long nowMillis = context.timers().monotonicMillis();
         answer.load()
@@ -129,7 +131,7 @@
         if (!ended.compareAndSet(false, true)) {
             return;
         }
-        load.ended(this, choice.prefillMillis());
+        load.ended(this, priority, choice.prefillMillis());
         if (result.isFailed()) {
             listener.onFailure(this, result.getFailure());
         } else {
