--- /dev/null
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/CrestTest.java
@@ -0,0 +1,166 @@
+package io.agatelane.core.fleet;
+
+import static org.testng.Assert.assertTrue;
+
+import io.agatelane.core.fleet.command.PlacementIndex;
+import io.agatelane.core.fleet.command.PrefillBacklog;
+import io.agatelane.core.fleet.command.UpstreamEstimate;
+import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.fleet.query.Choice;
+import io.agatelane.core.fleet.query.ChoiceSettings;
+import io.agatelane.core.fleet.query.EnginePriority;
+import io.agatelane.core.fleet.query.PromptCache;
+import io.agatelane.core.fleet.query.PromptRequest;
+import io.agatelane.core.fleet.query.QueueRule;
+import io.agatelane.core.fleet.query.UpstreamChooser;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.PriorityQueue;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Plays a demand above the engines' capacity: letters of 400 tokens and dossiers of 16,000 tokens, most of them shared.
+ * Engines read one prompt after the other, by priority. The naive version takes everything, sends it to the engine with
+ * the fewest requests and states one priority for all.
+ */
+public class CrestTest {
+    private static final int ENGINES = 4;
+    private static final double TOKENS_PER_MILLI = 100;
+    private static final long OBJECTIVE_MILLIS = 500;
+    private static final int RUN_MILLIS = 20_000;
+    private static final int PREFIXES = 40;
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}};
+    }
+
+    private record Job(Prompt prompt, boolean isLetter, int priority, long arrivedMillis, double workMillis) {}
+
+    private static final class Engine {
+        private final PriorityQueue<Job> queue =
+                new PriorityQueue<>(Comparator.comparingInt(Job::priority).thenComparingLong(Job::arrivedMillis));
+        private PrefillBacklog backlog = PrefillBacklog.EMPTY;
+        private double freeAtMillis;
+    }
+
+    private static final class Outcome {
+        private int lettersInTime;
+        private int dossiersInTime;
+        private int letters;
+        private int refused;
+    }
+
+    // Guards against a crest at which every request is late because all of them are taken.
+    @Test(dataProvider = "seeds")
+    public void shortQueuesServeMoreInTime(long seed) {
+        Outcome naive = play(seed, false);
+        Outcome current = play(seed, true);
+        assertTrue(
+                current.lettersInTime + current.dossiersInTime > 1.5 * (naive.lettersInTime + naive.dossiersInTime),
+                "seed " + seed + ": " + current.lettersInTime + "+" + current.dossiersInTime + " against "
+                        + naive.lettersInTime + "+" + naive.dossiersInTime);
+        assertTrue(current.dossiersInTime >= naive.dossiersInTime, "dossiers must not pay for the letters");
+        assertTrue(current.lettersInTime > 0.9 * current.letters, "letters must not queue behind dossiers");
+        assertTrue(current.refused > 0, "the demand is above the capacity");
+    }
+
+    private static Outcome play(long seed, boolean current) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        UpstreamChooser chooser = new UpstreamChooser(new ChoiceSettings("z", 0, TOKENS_PER_MILLI));
+        PlacementIndex index = new PlacementIndex();
+        List<Engine> engines = new ArrayList<>();
+        for (int i = 0; i < ENGINES; i++) {
+            engines.add(new Engine());
+        }
+        Outcome outcome = new Outcome();
+        double next = 0;
+        for (long now = 0; now < RUN_MILLIS; now++) {
+            for (Engine engine : engines) {
+                run(engine, now, outcome);
+            }
+            while (next <= now) {
+                next += 2.0 + 4.0 * random.nextDouble();
+                boolean isLetter = random.nextInt(5) > 0;
+                outcome.letters += isLetter ? 1 : 0;
+                Prompt prompt = prompt(isLetter, random.nextInt(PREFIXES));
+                if (current) {
+                    sendCurrent(chooser, index, engines, prompt, isLetter, now, outcome);
+                } else {
+                    sendNaive(engines, prompt, isLetter, now);
+                }
+            }
+        }
+        return outcome;
+    }
+
+    private static void run(Engine engine, long now, Outcome outcome) {
+        while (engine.freeAtMillis <= now && !engine.queue.isEmpty()) {
+            Job job = engine.queue.poll();
+            engine.freeAtMillis = Math.max(engine.freeAtMillis, now - 1) + job.workMillis();
+            engine.backlog = engine.backlog.with(job.priority(), -job.workMillis());
+            if (engine.freeAtMillis - job.arrivedMillis() <= OBJECTIVE_MILLIS) {
+                outcome.lettersInTime += job.isLetter() ? 1 : 0;
+                outcome.dossiersInTime += job.isLetter() ? 0 : 1;
+            }
+        }
+    }
+
+    private static void sendNaive(List<Engine> engines, Prompt prompt, boolean isLetter, long now) {
+        Engine least = engines.stream()
+                .min(Comparator.comparingInt(engine -> engine.queue.size()))
+                .orElseThrow();
+        add(least, new Job(prompt, isLetter, 5, now, prompt.inputTokens() / TOKENS_PER_MILLI));
+    }
+
+    private static void sendCurrent(
+            UpstreamChooser chooser,
+            PlacementIndex index,
+            List<Engine> engines,
+            Prompt prompt,
+            boolean isLetter,
+            long now,
+            Outcome outcome) {
+        int priority = EnginePriority.of(OptionalInt.of(1), 0, prompt);
+        List<Candidate> candidates = new ArrayList<>();
+        for (int i = 0; i < engines.size(); i++) {
+            Engine engine = engines.get(i);
+            candidates.add(Fleets.candidate(
+                    "e" + i, "z", 1, new UpstreamEstimate(engine.queue.size(), engine.backlog, 100, 0, 0)));
+        }
+        PromptCache cache =
+                new PromptCache(index, prompt, Fleets.PROFILE, Optional.empty(), Optional.empty(), candidates);
+        PromptRequest request = new PromptRequest(prompt, Fleets.PROFILE, priority, 1, OBJECTIVE_MILLIS);
+        Choice choice = chooser.chooseForPrompt(candidates, request, cache).orElseThrow();
+        if (QueueRule.retryAfterMillis(choice, OBJECTIVE_MILLIS).isPresent()) {
+            outcome.refused++;
+            return;
+        }
+        // The engine keeps what the placements say it keeps; a copy takes the time that the chooser expects.
+        double work = choice.prefillMillis();
+        cache.record(choice.candidate(), false);
+        add(engines.get(candidates.indexOf(choice.candidate())), new Job(prompt, isLetter, priority, now, work));
+    }
+
+    private static void add(Engine engine, Job job) {
+        engine.queue.add(job);
+        engine.backlog = engine.backlog.with(job.priority(), job.workMillis());
+    }
+
+    private static Prompt prompt(boolean isLetter, int prefix) {
+        return isLetter
+                ? new Prompt(
+                        Fleets.MODEL, List.of(new PromptPart("l" + prefix, 90), new PromptPart("own", 310)), 400, 8)
+                : new Prompt(
+                        Fleets.MODEL,
+                        List.of(new PromptPart("d" + prefix, 13_000), new PromptPart("own", 3_000)),
+                        16_000,
+                        20);
+    }
+}
--- /dev/null
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/PromptCacheTest.java
@@ -0,0 +1,88 @@
+package io.agatelane.core.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+
+import io.agatelane.core.fleet.command.PlacementIndex;
+import io.agatelane.core.fleet.command.UpstreamEstimate;
+import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.fleet.query.PromptCache;
+import java.util.List;
+import java.util.Optional;
+import org.testng.annotations.Test;
+
+public class PromptCacheTest {
+    private static final Prompt PROMPT =
+            new Prompt(Fleets.MODEL, List.of(new PromptPart("ab", 13_000), new PromptPart("cd", 3_000)), 16_000, 20);
+    private static final CacheStore STORE = new CacheStore("s", "10.9.9.9:80", "z", 1_000_000, 48_000, 1);
+    private final Candidate first = Fleets.candidate("a", "z", 1, UpstreamEstimate.IDLE);
+    private final Candidate second = Fleets.candidate("b", "z", 1, UpstreamEstimate.IDLE);
+    private final Candidate updated = Fleets.candidate("c", "z", 2, UpstreamEstimate.IDLE);
+
+    // Guards against a prefix that is read again although another engine or the store has it.
+    @Test
+    public void sourceIsTheEngineThenTheStore() {
+        PlacementIndex index = new PlacementIndex();
+        PromptCache cache = cache(index, Optional.empty());
+        assertEquals(cache.saveTo(1), Optional.of(STORE.address()));
+        cache.record(first, true);
+        assertTrue(cache.holds(first));
+        assertEquals(
+                cache.source(second).orElseThrow().address(), first.upstream().address());
+        assertEquals(cache.saveTo(1), Optional.empty());
+        // The engine reads other prompts until it must have dropped the parts; the store still has them.
+        for (int other = 0; other < 5; other++) {
+            index.heard(new PlacementIndex.Placement(other, holder(first), 20_000));
+        }
+        assertFalse(cache.holds(first));
+        assertEquals(cache.source(second).orElseThrow().address(), STORE.address());
+    }
+
+    // Guards against parts made under other weights: they have another name and are never offered.
+    @Test
+    public void otherWeightsHaveOtherParts() {
+        PromptCache cache = cache(new PlacementIndex(), Optional.empty());
+        cache.record(first, true);
+        assertEquals(cache.source(updated), Optional.empty());
+        assertNotEquals(cache.salt(1), cache.salt(2));
+    }
+
+    // Guards against parts of an isolated account that another account could find.
+    @Test
+    public void isolatedAccountHasItsOwnNames() {
+        PlacementIndex index = new PlacementIndex();
+        cache(index, Optional.of("x")).record(first, true);
+        assertFalse(cache(index, Optional.empty()).holds(first));
+        assertFalse(cache(index, Optional.of("y")).holds(first));
+        assertNotEquals(
+                cache(index, Optional.of("x")).salt(1),
+                cache(index, Optional.of("y")).salt(1));
+    }
+
+    // Guards against a store that has restarted and is believed to be full.
+    @Test
+    public void restartedStoreIsEmpty() {
+        PlacementIndex index = new PlacementIndex();
+        cache(index, Optional.empty()).record(first, true);
+        PromptCache afterRestart = new PromptCache(
+                index,
+                PROMPT,
+                Fleets.PROFILE,
+                Optional.of(STORE.withIncarnation(2)),
+                Optional.empty(),
+                List.of(second));
+        assertEquals(afterRestart.source(second), Optional.empty());
+        assertEquals(afterRestart.saveTo(1), Optional.of(STORE.address()));
+    }
+
+    private PromptCache cache(PlacementIndex index, Optional<String> isolatedAccount) {
+        return new PromptCache(
+                index, PROMPT, Fleets.PROFILE, Optional.of(STORE), isolatedAccount, List.of(first, second, updated));
+    }
+
+    private static long holder(Candidate candidate) {
+        return io.agatelane.core.hash.Rendezvous.hash(candidate.upstream().key());
+    }
+}
--- /dev/null
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/WindowedRetryBudgetTest.java
@@ -0,0 +1,61 @@
+package io.agatelane.core.fleet;
+
+import static org.testng.Assert.assertTrue;
+
+import io.agatelane.core.fleet.command.WindowedRetryBudget;
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class WindowedRetryBudgetTest {
+    private static final double RATIO = 0.2;
+    private static final int SLACK = 54;
+    private static final long WINDOW_MILLIS = 10_000;
+    private static final int ROUTERS = 9;
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
+    }
+
+    // Guards against routers that each spend the whole budget: in no window do all together repeat more than allowed,
+    // also when every send fails, demand swings and some routers restart with an empty window.
+    @Test(dataProvider = "seeds")
+    public void allRoutersTogetherStayWithinTheBound(long seed) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+        List<WindowedRetryBudget> routers = new ArrayList<>();
+        for (int i = 0; i < ROUTERS; i++) {
+            routers.add(budget());
+        }
+        List<Long> requests = new ArrayList<>();
+        List<Long> repeats = new ArrayList<>();
+        for (long now = 0; now < 60_000; now += 1 + random.nextInt(now % 20_000 < 5_000 ? 5 : 50)) {
+            int router = random.nextInt(ROUTERS);
+            if (random.nextInt(2_000) == 0) {
+                routers.set(router, budget());
+            }
+            routers.get(router).recordRequest(now);
+            requests.add(now);
+            while (routers.get(router).tryTake(now)) {
+                repeats.add(now);
+            }
+        }
+        for (long end = 0; end < 60_000; end += 500) {
+            long allowed = Math.round(RATIO * inWindow(requests, end) + SLACK);
+            assertTrue(inWindow(repeats, end) <= allowed, "seed " + seed + ", window ending at " + end);
+        }
+    }
+
+    private static WindowedRetryBudget budget() {
+        return new WindowedRetryBudget(RATIO * 0.7, SLACK / 20, WINDOW_MILLIS);
+    }
+
+    private static long inWindow(List<Long> times, long endMillis) {
+        return times.stream()
+                .filter(time -> time > endMillis - WINDOW_MILLIS && time <= endMillis)
+                .count();
+    }
+}
