--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
@@ -26,8 +26,10 @@
     private static final int DEFAULT_RETRY_SLACK = 50;
     private static final int MAX_RETRY_SLACK = 100_000;
     private static final double DEFAULT_RETRY_WINDOW_SECONDS = 10;
-    // A round trip between the zones of today's deployments (6 to 11 ms) plus the price of the bytes.
-    private static final double DEFAULT_CROSS_ZONE_MILLIS = 15;
+    // A round trip between the zones of today's deployments (6 to 11 ms) plus the price of the bytes, which in Aargau
+    // is
+    // about that of an eighth of a second of prefill for a request of 17 KB.
+    private static final double DEFAULT_CROSS_ZONE_MILLIS = 30;
     // The slower of today's engines reads 112 prompt tokens a millisecond; a share of it goes to other requests.
     private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 100;
     private static final double MAX_PREFILL_TOKENS_PER_MILLI = 100_000;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -11,6 +11,7 @@
 import io.agatelane.node.forward.ForwardHandler;
 import io.agatelane.node.io.http.MetricsHandler;
 import io.agatelane.node.util.EventLog;
+import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -19,6 +20,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.util.component.LifeCycle;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
@@ -51,6 +53,8 @@
     private final RouterRegistry registry;
     private final LoadGossip gossip;
     private final CacheStoreProbe cacheStoreProbe;
+    private final List<HttpClient> clients;
+    private final QueuedThreadPool threads;
     private final CountDownLatch closed = new CountDownLatch(1);
     private volatile boolean draining;
 
@@ -58,19 +62,20 @@
         this.settings = settings;
         control = new ControlThread(settings.vmName());
         MetricRegistry metrics = new MetricRegistry();
-        QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
+        threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setReservedThreads(0);
         threads.setName("http");
         threads.setDaemon(true);
         ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("scheduler", true);
-        startQuietly(threads);
-        startQuietly(scheduler);
+        LifeCycle.start(threads);
+        LifeCycle.start(scheduler);
         HttpClient controlClient = FleetClients.forControl(threads, scheduler);
+        HttpClient requestClient = FleetClients.forRequests(threads, scheduler);
+        clients = List.of(controlClient, requestClient);
         FleetPorts ports = adapter.open(controlClient, settings.storeAddress(), settings.storeTimeoutMillis());
         UpstreamChooser chooser = new UpstreamChooser(
                 new ChoiceSettings(settings.zone(), settings.crossZoneMillis(), settings.prefillTokensPerMilli()));
-        context = new ForwardContext(
-                settings, ports, state, chooser, FleetClients.forRequests(threads, scheduler), control, metrics);
+        context = new ForwardContext(settings, ports, state, chooser, requestClient, control, metrics);
         forward = new ForwardHandler(context);
         server = new FleetServer(
                 threads,
@@ -115,10 +120,6 @@
                 metrics);
     }
 
-    private static void startQuietly(org.eclipse.jetty.util.component.LifeCycle component) {
-        org.eclipse.jetty.util.component.LifeCycle.start(component);
-    }
-
     /** Starts a router. */
     public static FleetNode start(FleetSettings settings, PlatformAdapter adapter) {
         FleetNode node = new FleetNode(settings, adapter);
@@ -186,6 +187,32 @@
         return outOfTime || (elapsedMillis > OUT_OF_ROTATION_MILLIS && forward.inFlight() == 0);
     }
 
+    /** Whether this router has left the load balancer's rotation. */
+    public boolean isDraining() {
+        return draining;
+    }
+
+    /** Whether new requests are refused. */
+    public boolean isRefusing() {
+        return context.isRefusing();
+    }
+
+    /** Stops at once. */
+    public void close() {
+        draining = true;
+        follower.close();
+        gossip.close();
+        server.stop();
+        clients.forEach(FleetNode::stop);
+        control.close();
+        LifeCycle.stop(threads);
+        closed.countDown();
+    }
+
+    private static void stop(HttpClient client) {
+        LifeCycle.stop(client);
+    }
+
     /** Waits for the end of the shutdown. */
     public void awaitClosed() throws InterruptedException {
         closed.await();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -112,6 +112,13 @@
         return digest.build();
     }
 
+    /** Closes the socket. */
+    public void close() {
+        if (socket != null) {
+            socket.close();
+        }
+    }
+
     private void receive(byte[] bytes) {
         try {
             LoadDigest digest = LoadDigest.parseFrom(bytes);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -90,7 +90,7 @@
     }
 
     /** Whether new requests are refused because the process ends before many of them could be answered. */
-    boolean isRefusing() {
+    public boolean isRefusing() {
         return refusing;
     }
 
