Reload settings on SIGHUP and when the file changes; test the roll-out with holders that die, freeze and lose answers

Cause: SIGHUP ended the process, and settings may change without a signal. Ruled out: -Xrs, which takes SIGTERM away as well.

--- a/agatelane-cli/src/main/java/io/agatelane/cli/CommandLine.java
+++ b/agatelane-cli/src/main/java/io/agatelane/cli/CommandLine.java
@@ -88,7 +88,7 @@
                 yield ExitCode.DONE;
             }
             case "fleet" -> {
-                FleetProcess.run(FleetSettingsReader.read(Path.of(fleet.settings)));
+                FleetProcess.run(Path.of(fleet.settings));
                 yield ExitCode.DONE;
             }
             case "check" -> check();
--- a/agatelane-cli/src/main/java/io/agatelane/cli/FleetProcess.java
+++ b/agatelane-cli/src/main/java/io/agatelane/cli/FleetProcess.java
@@ -1,9 +1,12 @@
 package io.agatelane.cli;
 
 import io.agatelane.node.cfg.FleetSettings;
+import io.agatelane.node.cfg.FleetSettingsReader;
 import io.agatelane.node.fleet.FleetNode;
+import io.agatelane.node.fleet.SettingsWatch;
 import io.agatelane.node.util.BoundedLogHandler;
 import io.agatelane.platform.UserPlatform;
+import java.nio.file.Path;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -17,9 +20,13 @@
     private FleetProcess() {}
 
     /** Starts a router and returns when it has stopped. */
-    static void run(FleetSettings settings) {
+    static void run(Path file) {
+        FleetSettings settings = FleetSettingsReader.read(file);
         BoundedLogHandler log = configureLogging();
         FleetNode node = FleetNode.start(settings, new UserPlatform());
+        SettingsWatch watch = new SettingsWatch(file, settings, node::apply);
+        watch.start(node.timers());
+        HangupSignal.onSignal(() -> watch.reload("signal"));
         Thread shutdown = new Thread(
                 () -> {
                     node.shutDownGracefully();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -5,6 +5,7 @@
 import io.agatelane.core.fleet.query.UpstreamChooser;
 import io.agatelane.node.api.FleetPorts;
 import io.agatelane.node.api.PlatformAdapter;
+import io.agatelane.node.api.TimerService;
 import io.agatelane.node.cfg.FleetSettings;
 import io.agatelane.node.control.ControlThread;
 import io.agatelane.node.forward.ForwardContext;
@@ -139,6 +140,27 @@
         return node;
     }
 
+    /**
+     * Applies the bounds of changed settings. Addresses and intervals are used as they were at the start, until the
+     * process is restarted.
+     */
+    public void apply(FleetSettings changed) {
+        context.apply(changed);
+        LOG.event("settings_applied")
+                .with("vm", changed.vmName())
+                .with("max_proof_ms", changed.maxProofMillis())
+                .with("weights_ms", changed.weightsMillis())
+                .with("retry_ratio", changed.retryRatio())
+                .with("retry_slack", changed.retrySlack())
+                .with("restart_needed", !changed.storeAddress().equals(settings.storeAddress()))
+                .info();
+    }
+
+    /** The timer service of this router. */
+    public TimerService timers() {
+        return control;
+    }
+
     private void applyLimits() {
         state.knowledge().config().ifPresent(config -> server.apply(config.limits()));
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -17,7 +17,7 @@
     private static final int ROUTERS_SHARING_SLACK = 20;
     // Part of the ratio that is used, so that requests that the judge of the budget does not count cannot break it.
     private static final double USED_RATIO = 0.7;
-    private final FleetSettings settings;
+    private volatile FleetSettings settings;
     private final FleetPorts ports;
     private final FleetState state;
     private final UpstreamChooser chooser;
@@ -46,6 +46,12 @@
         this.metrics = metrics;
     }
 
+    /** Applies changed settings to requests that come from now on. */
+    public void apply(FleetSettings changed) {
+        settings = changed;
+        budgets.clear();
+    }
+
     FleetSettings settings() {
         return settings;
     }
--- /dev/null
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
@@ -0,0 +1,171 @@
+package io.agatelane.node.fleet;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.FleetView;
+import io.agatelane.node.api.EngineControl;
+import io.agatelane.node.api.EngineStatus;
+import io.agatelane.node.api.FleetRead;
+import io.agatelane.node.api.FleetSource;
+import io.agatelane.node.api.OrderAnswer;
+import io.agatelane.node.api.WeightsOrder;
+import io.agatelane.node.fakes.FakeControl;
+import io.agatelane.node.fakes.FakeKeyValueStore;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+/** Engines with one model, and what the operator says of them. The clock is the test's. */
+final class FakeFleet implements FleetSource, EngineControl {
+    static final String MODEL = "m";
+    private static final long LOAD_MILLIS = 1_800;
+
+    private final FakeControl control;
+    private final FakeKeyValueStore store;
+    private final Map<String, Engine> engines = new HashMap<>();
+    private final List<WeightsOrder> accepted = new ArrayList<>();
+    private long newest = 1;
+    private long unansweredDelayMillis = -1;
+    private boolean storeOut;
+    private int mostLoading;
+
+    FakeFleet(FakeControl control, FakeKeyValueStore store, int size) {
+        this.control = control;
+        this.store = store;
+        for (int i = 0; i < size; i++) {
+            engines.put("e" + i, new Engine());
+        }
+    }
+
+    private static final class Engine {
+        private long incarnation = 1;
+        private long version = 1;
+        private long orders;
+        private long highestToken;
+        private boolean busy;
+        private boolean inDirectory = true;
+    }
+
+    void name(long version) {
+        newest = version;
+    }
+
+    /** From now on orders get no answer and are carried out later; a negative delay ends that. */
+    void loseAnswers(long delayMillis) {
+        unansweredDelayMillis = delayMillis;
+    }
+
+    void setStoreOut(boolean out) {
+        storeOut = out;
+        store.setOutage(out);
+    }
+
+    /** Takes the entry of an engine from the directory, or puts it back. */
+    void setListed(String id, boolean listed) {
+        engines.get(id).inDirectory = listed;
+    }
+
+    /** Restarts an engine with other weights. */
+    void restart(String id, long version) {
+        Engine engine = engines.get(id);
+        engine.incarnation++;
+        engine.version = version;
+        engine.orders = 0;
+        engine.highestToken = 0;
+        engine.busy = false;
+    }
+
+    long oldestVersion() {
+        return engines.values().stream()
+                .mapToLong(engine -> engine.version)
+                .min()
+                .orElseThrow();
+    }
+
+    List<WeightsOrder> accepted() {
+        return accepted;
+    }
+
+    int mostLoading() {
+        return mostLoading;
+    }
+
+    @Override
+    public CompletableFuture<FleetRead> read() {
+        if (storeOut) {
+            return CompletableFuture.failedFuture(
+                    new AgatelaneException(FailureType.PLATFORM_UNAVAILABLE, "the store is out"));
+        }
+        List<FleetUpstream> upstreams = new ArrayList<>();
+        engines.forEach((id, engine) -> {
+            if (engine.inDirectory) {
+                upstreams.add(upstream(id, engine));
+            }
+        });
+        FleetView view = new FleetView(Optional.empty(), upstreams, Map.of(MODEL, newest), Set.of());
+        return store.list("").thenApply(items -> new FleetRead(view, items));
+    }
+
+    private static FleetUpstream upstream(String id, Engine engine) {
+        return new FleetUpstream(
+                id,
+                engine.incarnation,
+                "s",
+                "10.0.0.1:80" + id.substring(1),
+                "z",
+                8,
+                false,
+                Map.of(MODEL, engine.version));
+    }
+
+    @Override
+    public CompletableFuture<EngineStatus> status(FleetUpstream upstream) {
+        Engine engine = engines.get(upstream.id());
+        return CompletableFuture.completedFuture(
+                new EngineStatus(engine.incarnation, engine.busy, engine.orders, Map.of(MODEL, engine.version)));
+    }
+
+    @Override
+    public CompletableFuture<Long> cacheStoreIncarnation(String address) {
+        return CompletableFuture.completedFuture(1L);
+    }
+
+    @Override
+    public CompletableFuture<OrderAnswer> load(FleetUpstream upstream, WeightsOrder order) {
+        Engine engine = engines.get(upstream.id());
+        if (unansweredDelayMillis >= 0) {
+            control.after(unansweredDelayMillis, () -> carryOut(engine, order));
+            return CompletableFuture.failedFuture(
+                    new AgatelaneException(FailureType.WRITE_OUTCOME_UNKNOWN, "no answer"));
+        }
+        return CompletableFuture.completedFuture(carryOut(engine, order));
+    }
+
+    private OrderAnswer carryOut(Engine engine, WeightsOrder order) {
+        if (order.fencingToken() < engine.highestToken) {
+            return OrderAnswer.FENCED;
+        }
+        engine.highestToken = order.fencingToken();
+        if (engine.busy || engine.orders != order.expectedOrders()) {
+            return OrderAnswer.CONFLICT;
+        }
+        accepted.add(order);
+        engine.orders++;
+        engine.busy = true;
+        mostLoading = Math.max(mostLoading, (int)
+                engines.values().stream().filter(other -> other.busy).count());
+        long incarnation = engine.incarnation;
+        control.after(LOAD_MILLIS, () -> {
+            if (engine.incarnation == incarnation) {
+                engine.busy = false;
+                engine.version = order.version();
+            }
+        });
+        return OrderAnswer.STARTED;
+    }
+}
