--- a/agatelane-cli/src/test/java/io/agatelane/cli/CommandLineTest.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/CommandLineTest.java
@@ -19,13 +19,20 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Messages and exit codes of serve, check and version. */
+/** Messages and exit codes of serve, fleet, check and version. */
 public class CommandLineTest {
     private static final Path EXAMPLE = Path.of("src/main/dist/settings.example.jsonc");
     private static final String VALID = "{\"vm\":{\"name\":\"v\",\"availabilityZone\":\"r-1\",\"region\":\"r\"},"
             + "\"listen\":{\"httpAddress\":\"127.0.0.1:1\",\"rpcAddress\":\"127.0.0.1:2\","
             + "\"peerAddress\":\"127.0.0.1:3\"},\"platform\":{\"url\":\"http://127.0.0.1:4\"}}";
 
+    // The numbers are written as the template of the deployment writes them.
+    private static final String FLEET = "{\"vm\":{\"name\":\"v\",\"availabilityZone\":\"z\"},"
+            + "\"listen\":{\"callerAddress\":\"127.0.0.1:1\",\"readinessAddress\":\"127.0.0.1:2\","
+            + "\"metricsAddress\":\"127.0.0.1:3\",\"peerAddress\":\"127.0.0.1:4\"},"
+            + "\"store\":{\"address\":\"127.0.0.1:5\"},"
+            + "\"bounds\":{\"revocationSeconds\":5000e-3,\"upstreamsCheckFencing\":true,\"retryRatio\":0.2}}";
+
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
     private final List<Settings> launched = new ArrayList<>();
@@ -46,6 +53,7 @@
         return new Object[][] {
             {"--help"},
             {"serve --help"},
+            {"fleet --help"},
             {"check --help"},
             {"version --help"},
             {"ctl --help"},
@@ -71,9 +79,10 @@
     @DataProvider
     public Object[][] badUsages() {
         return new Object[][] {
-            {"", "expected a command: serve, check, ctl or version"},
+            {"", "expected a command: serve, fleet, check, ctl or version"},
             {"start", "Expected a command, got start"},
             {"serve", "The following option is required: [--settings]"},
+            {"fleet", "The following option is required: [--settings]"},
             {"check --settings", "Expected a value after parameter --settings"},
             {"ctl --rpc 127.0.0.1:1", "expected a command: get, list, apply, delete, status"},
             {"ctl status", "--rpc: expected IP:PORT of a router"},
@@ -169,6 +178,44 @@
         assertEquals(launched.size(), expected.isEmpty() ? 1 : 0);
     }
 
+    @DataProvider
+    public Object[][] fleetFaults() {
+        return new Object[][] {
+            {FLEET, List.of()},
+            {
+                FLEET.replace("\"127.0.0.1:5\"", "\"store\"")
+                        .replace("5000e-3", "\"5\"")
+                        .replace("0.2", "7"),
+                List.of(
+                        "/store/address: expected IP:PORT",
+                        "/bounds/revocationSeconds: expected a number from 0.0 to 600.0, found a string",
+                        "/bounds/retryRatio: expected a number from 0.0 to 1.0")
+            },
+            {
+                FLEET.replace("true", "\"yes\"").replace("\"vm\"", "\"extra\":1,\"vm\""),
+                List.of(
+                        "/bounds/upstreamsCheckFencing: expected true or false, found a string",
+                        "/extra: unknown field")
+            },
+        };
+    }
+
+    /** Guards against a fleet router that starts with wrong settings, and against faults that are reported singly. */
+    @Test(dataProvider = "fleetFaults")
+    public void allFaultsOfFleetSettingsAreReportedAtOnce(String json, List<String> expected) throws IOException {
+        Files.writeString(file, json);
+        ExitCode code = run("check", "--fleet", "--settings", file.toString());
+        List<String> lines = err().lines().toList();
+        assertEquals(code, expected.isEmpty() ? ExitCode.DONE : ExitCode.BAD_USAGE, err());
+        assertEquals(lines.size(), expected.size(), err());
+        for (int i = 0; i < lines.size(); i++) {
+            assertTrue(lines.get(i).startsWith(file + ": " + expected.get(i)), lines.get(i));
+        }
+        if (!expected.isEmpty()) {
+            assertEquals(run("fleet", "--settings", file.toString()), ExitCode.BAD_USAGE);
+        }
+    }
+
     /** Guards against a failed start that looks like a success. */
     @Test
     public void failedStartHasItsOwnExitCode() {
