Treat a prompt for a service without engines as a call; answer after unexpected failures

Cause, found in review: a caller that states a prompt to a service without an engine profile led to a null cache, and the failure was only logged by the executor, so the request ended at its deadline.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -24,6 +24,7 @@
 import io.agatelane.node.api.UpstreamAnswer;
 import io.agatelane.node.api.UpstreamCall;
 import io.agatelane.node.fleet.FleetKnowledge;
+import io.agatelane.node.util.EventLog;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
@@ -47,6 +48,7 @@
  * upstream has said so.
  */
 final class ForwardCall implements Send.Listener {
+    private static final EventLog LOG = EventLog.of(ForwardCall.class);
     // Connects that fail cost nothing, but a fleet that is down must not be tried through.
     private static final int MAX_UNSENT = 3;
     // Shortest time that is worth a send: a round trip between zones and the fastest answer.
@@ -140,6 +142,9 @@
             send(known, choice, leftMillis);
         } catch (AgatelaneException e) {
             fail(mayHaveRun ? e.withExecuted(Executed.UNKNOWN) : e);
+        } catch (RuntimeException e) {
+            LOG.event("request_failed_inside").with("id", caller.id()).error(e);
+            fail(AgatelaneException.from(e));
         }
     }
 
@@ -160,11 +165,13 @@
     }
 
     private Choice choose(FleetKnowledge known, long now, long leftMillis) {
-        Optional<Prompt> prompt = caller.prompt();
-        List<Candidate> candidates = context.state().candidates(known, service, prompt.map(Prompt::model), tried, now);
         Optional<EngineProfile> engine =
                 known.config().flatMap(config -> config.service(service)).flatMap(FleetService::engine);
-        Optional<Choice> choice = prompt.isPresent() && engine.isPresent()
+        // A service without engines has no weights and no cache, whatever a caller states about a prompt.
+        Optional<Prompt> prompt = caller.prompt().filter(stated -> engine.isPresent());
+        List<Candidate> candidates = context.state().candidates(known, service, prompt.map(Prompt::model), tried, now);
+        cache = null;
+        Optional<Choice> choice = prompt.isPresent()
                 ? chooseEngine(known, candidates, prompt.get(), engine.get(), now)
                 : context.chooser().chooseForCall(candidates, CALL_MILLIS);
         if (choice.isEmpty()) {
@@ -225,7 +232,7 @@
     private UpstreamCall upstreamCall(Choice choice, long leftMillis) {
         FleetUpstream upstream = choice.candidate().upstream();
         long version = choice.candidate().weightsVersion();
-        boolean isPrompt = version > 0;
+        boolean isPrompt = cache != null;
         saveTo = isPrompt ? cache.saveTo(version) : Optional.empty();
 
         return new UpstreamCall(
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
@@ -74,8 +74,8 @@
             Route route = route(config, request);
             Optional<FleetAccount> account = account(config, route, caller);
             new ForwardCall(context, request, response, callback, caller, route, account, body, arrivedMillis).start();
-        } catch (AgatelaneException e) {
-            refuse(request, response, callback, e);
+        } catch (RuntimeException e) {
+            refuse(request, response, callback, AgatelaneException.from(e));
         }
     }
 
