--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetServer.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetServer.java
@@ -3,7 +3,10 @@
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.CallerLimits;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.Map;
 import jdk.net.ExtendedSocketOptions;
 import org.eclipse.jetty.http.UriCompliance;
@@ -51,7 +54,7 @@
         ServerConnector connector =
                 new ServerConnector(server, ONE_THREAD, ONE_THREAD, new HttpConnectionFactory(configuration)) {
                     @Override
-                    protected void configure(java.net.Socket socket) {
+                    protected void configure(Socket socket) {
                         super.configure(socket);
                         keepAlive(socket);
                     }
@@ -72,14 +75,14 @@
         return configuration;
     }
 
-    private static void keepAlive(java.net.Socket socket) {
+    private static void keepAlive(Socket socket) {
         try {
             socket.setKeepAlive(true);
             socket.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS);
             socket.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, KEEP_ALIVE_INTERVAL_SECONDS);
             socket.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, KEEP_ALIVE_PROBES);
-        } catch (java.io.IOException e) {
-            throw new java.io.UncheckedIOException(e);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
         }
     }
 
