Keep queries apart from commands in the fleet's core, without java.io

The values and the index move to the base package, PromptCache returns placements instead of recording them.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/PeerLoad.java
@@ -1,4 +1,4 @@
-package io.agatelane.core.fleet.command;
+package io.agatelane.core.fleet;
 
 /**
  * What another router says of an upstream.
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerTotal.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/PeerTotal.java
@@ -1,4 +1,4 @@
-package io.agatelane.core.fleet.command;
+package io.agatelane.core.fleet;
 
 /**
  * What all other routers together say of an upstream.
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PrefillBacklog.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/PrefillBacklog.java
@@ -1,4 +1,4 @@
-package io.agatelane.core.fleet.command;
+package io.agatelane.core.fleet;
 
 import java.util.ArrayList;
 import java.util.Collections;
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamEstimate.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/UpstreamEstimate.java
@@ -1,4 +1,4 @@
-package io.agatelane.core.fleet.command;
+package io.agatelane.core.fleet;
 
 /**
  * The load of an upstream at one moment.
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
@@ -1,5 +1,8 @@
 package io.agatelane.core.fleet.command;
 
+import io.agatelane.core.fleet.PeerLoad;
+import io.agatelane.core.fleet.PeerTotal;
+import io.agatelane.core.fleet.PrefillBacklog;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
@@ -1,5 +1,9 @@
 package io.agatelane.core.fleet.command;
 
+import io.agatelane.core.fleet.PeerLoad;
+import io.agatelane.core.fleet.PeerTotal;
+import io.agatelane.core.fleet.PrefillBacklog;
+import io.agatelane.core.fleet.UpstreamEstimate;
 import java.util.HashMap;
 import java.util.Map;
 
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/Candidate.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/Candidate.java
@@ -1,7 +1,7 @@
 package io.agatelane.core.fleet.query;
 
 import io.agatelane.core.fleet.FleetUpstream;
-import io.agatelane.core.fleet.command.UpstreamEstimate;
+import io.agatelane.core.fleet.UpstreamEstimate;
 
 /**
  * An upstream that a request could go to.
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EnginePriority.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EnginePriority.java
@@ -1,7 +1,7 @@
 package io.agatelane.core.fleet.query;
 
+import io.agatelane.core.fleet.PrefillBacklog;
 import io.agatelane.core.fleet.Prompt;
-import io.agatelane.core.fleet.command.PrefillBacklog;
 import java.util.OptionalInt;
 
 /**
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
@@ -1,7 +1,7 @@
 package io.agatelane.core.fleet.query;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Optional;
 
 /**
@@ -12,7 +12,9 @@
 public final class EventFramer {
     private static final String ID_FIELD = "id:";
 
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private static final byte[] NOTHING = new byte[0];
+
+    private byte[] pending = NOTHING;
     private String lastEventId;
     private boolean lineEmpty = true;
 
@@ -29,28 +31,34 @@
                 lineEmpty = false;
             }
         }
+        byte[] all = joined(pending, bytes);
         if (end == 0) {
-            pending.write(bytes, 0, bytes.length);
-            return new byte[0];
+            pending = all;
+            return NOTHING;
         }
-        pending.write(bytes, 0, end);
-        byte[] events = pending.toByteArray();
-        pending.reset();
-        pending.write(bytes, end, bytes.length - end);
+        int eventsLength = pending.length + end;
+        byte[] events = Arrays.copyOf(all, eventsLength);
+        pending = Arrays.copyOfRange(all, eventsLength, all.length);
         findLastId(events);
         return events;
     }
 
+    private static byte[] joined(byte[] first, byte[] second) {
+        byte[] all = Arrays.copyOf(first, first.length + second.length);
+        System.arraycopy(second, 0, all, first.length, second.length);
+        return all;
+    }
+
     /** Takes what is left after the end of a complete stream. */
     public byte[] rest() {
-        byte[] bytes = pending.toByteArray();
-        pending.reset();
+        byte[] bytes = pending;
+        pending = NOTHING;
         return bytes;
     }
 
     /** Forgets an event that was cut off. */
     public void dropPartialEvent() {
-        pending.reset();
+        pending = NOTHING;
         lineEmpty = true;
     }
 
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
@@ -3,9 +3,10 @@
 import io.agatelane.core.fleet.CacheStore;
 import io.agatelane.core.fleet.EngineProfile;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.PlacementIndex;
 import io.agatelane.core.fleet.Prompt;
-import io.agatelane.core.fleet.command.PlacementIndex;
 import io.agatelane.core.hash.Rendezvous;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
@@ -109,19 +110,20 @@
         return store.map(CacheStore::address);
     }
 
-    /** Records that an engine has read the prompt, and that it saves it when it was told to. */
-    public void record(Candidate chosen, boolean saved) {
+    /** What an engine that has read the prompt, and saved it when it was told to, holds from now on. */
+    public List<PlacementIndex.Placement> placements(Candidate chosen, boolean saved) {
         if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
-            return;
+            return List.of();
         }
         long part = part(chosen.weightsVersion());
         int own = prompt.inputTokens() - prompt.sharedTokens();
-        int read = holds(chosen) ? own : prompt.inputTokens();
-        index.placed(new PlacementIndex.Placement(part, holder(chosen.upstream()), Math.max(0, read)));
-        if (saved) {
-            store.ifPresent(target ->
-                    index.placed(new PlacementIndex.Placement(part, storeHolder(target), prompt.inputTokens())));
+        int read = Math.max(0, holds(chosen) ? own : prompt.inputTokens());
+        List<PlacementIndex.Placement> placements = new ArrayList<>();
+        placements.add(new PlacementIndex.Placement(part, holder(chosen.upstream()), read));
+        if (saved && store.isPresent()) {
+            placements.add(new PlacementIndex.Placement(part, storeHolder(store.get()), prompt.inputTokens()));
         }
+        return placements;
     }
 
     private boolean storeHolds(long weightsVersion) {
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -1,7 +1,7 @@
 package io.agatelane.core.fleet.query;
 
 import io.agatelane.core.fleet.Prompt;
-import io.agatelane.core.fleet.command.UpstreamEstimate;
+import io.agatelane.core.fleet.UpstreamEstimate;
 import io.agatelane.core.hash.Rendezvous;
 import java.util.Comparator;
 import java.util.List;
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/CrestTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/CrestTest.java
@@ -2,9 +2,6 @@
 
 import static org.testng.Assert.assertTrue;
 
-import io.agatelane.core.fleet.command.PlacementIndex;
-import io.agatelane.core.fleet.command.PrefillBacklog;
-import io.agatelane.core.fleet.command.UpstreamEstimate;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.Choice;
 import io.agatelane.core.fleet.query.ChoiceSettings;
@@ -144,7 +141,7 @@
         }
         // The engine keeps what the placements say it keeps; a copy takes the time that the chooser expects.
         double work = choice.prefillMillis();
-        cache.record(choice.candidate(), false);
+        cache.placements(choice.candidate(), false).forEach(index::placed);
         add(engines.get(candidates.indexOf(choice.candidate())), new Job(prompt, isLetter, priority, now, work));
     }
 
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/Fleets.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/Fleets.java
@@ -1,6 +1,5 @@
 package io.agatelane.core.fleet;
 
-import io.agatelane.core.fleet.command.UpstreamEstimate;
 import io.agatelane.core.fleet.query.Candidate;
 import java.util.Map;
 
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/PeerLoadsTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/PeerLoadsTest.java
@@ -2,10 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
-import io.agatelane.core.fleet.command.PeerLoad;
 import io.agatelane.core.fleet.command.PeerLoads;
-import io.agatelane.core.fleet.command.PeerTotal;
-import io.agatelane.core.fleet.command.PrefillBacklog;
 import java.util.List;
 import org.testng.annotations.Test;
 
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/PromptCacheTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/PromptCacheTest.java
@@ -5,8 +5,6 @@
 import static org.testng.Assert.assertNotEquals;
 import static org.testng.Assert.assertTrue;
 
-import io.agatelane.core.fleet.command.PlacementIndex;
-import io.agatelane.core.fleet.command.UpstreamEstimate;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.PromptCache;
 import java.util.List;
@@ -27,7 +25,7 @@
         PlacementIndex index = new PlacementIndex();
         PromptCache cache = cache(index, Optional.empty());
         assertEquals(cache.saveTo(1), Optional.of(STORE.address()));
-        cache.record(first, true);
+        cache.placements(first, true).forEach(index::placed);
         assertTrue(cache.holds(first));
         assertEquals(
                 cache.source(second).orElseThrow().address(), first.upstream().address());
@@ -43,8 +41,9 @@
     // Guards against parts made under other weights: they have another name and are never offered.
     @Test
     public void otherWeightsHaveOtherParts() {
-        PromptCache cache = cache(new PlacementIndex(), Optional.empty());
-        cache.record(first, true);
+        PlacementIndex index = new PlacementIndex();
+        PromptCache cache = cache(index, Optional.empty());
+        cache.placements(first, true).forEach(index::placed);
         assertEquals(cache.source(updated), Optional.empty());
         assertNotEquals(cache.salt(1), cache.salt(2));
     }
@@ -53,7 +52,7 @@
     @Test
     public void isolatedAccountHasItsOwnNames() {
         PlacementIndex index = new PlacementIndex();
-        cache(index, Optional.of("x")).record(first, true);
+        cache(index, Optional.of("x")).placements(first, true).forEach(index::placed);
         assertFalse(cache(index, Optional.empty()).holds(first));
         assertFalse(cache(index, Optional.of("y")).holds(first));
         assertNotEquals(
@@ -65,7 +64,7 @@
     @Test
     public void restartedStoreIsEmpty() {
         PlacementIndex index = new PlacementIndex();
-        cache(index, Optional.empty()).record(first, true);
+        cache(index, Optional.empty()).placements(first, true).forEach(index::placed);
         PromptCache afterRestart = new PromptCache(
                 index,
                 PROMPT,
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/WeightsRuleTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/WeightsRuleTest.java
@@ -2,7 +2,6 @@
 
 import static org.testng.Assert.assertEquals;
 
-import io.agatelane.core.fleet.command.UpstreamEstimate;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.WeightsRule;
 import java.util.List;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -2,9 +2,9 @@
 
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.agatelane.core.fleet.command.PeerLoad;
-import io.agatelane.core.fleet.command.PlacementIndex.Placement;
-import io.agatelane.core.fleet.command.PrefillBacklog;
+import io.agatelane.core.fleet.PeerLoad;
+import io.agatelane.core.fleet.PlacementIndex.Placement;
+import io.agatelane.core.fleet.PrefillBacklog;
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.io.gossip.UdpSocket;
 import io.agatelane.node.util.EventLog;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -277,7 +277,8 @@
         if (!failed) {
             load.succeeded(now);
             if (cache != null) {
-                cache.record(send.choice().candidate(), saveTo.isPresent());
+                cache.placements(send.choice().candidate(), saveTo.isPresent())
+                        .forEach(context.state().placements()::placed);
             }
             answer.weightsVersion().ifPresent(version -> context.state().sawWeights(send.upstream(), version));
         }
