Do not read a prefix twice: follow the engine that is reading it; read the store less for entries of upstreams

A placement was told only when the answer began, and a router that had not heard of it read the prefix wherever the queue was 20 ms shorter than at its home. Change 1: the send itself tells "this engine reads it"; later requests follow it, also over some queue, unless a copy can be had; a new prefix leaves its home only for 60 ms. What an engine has is looked up once a decision instead of once for each pair of candidates. Change 2: the operator's part and the upstreams' part are told apart; a change of the second is read after 1.5 s, half of the time in which a leaving upstream must be known.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/PlacementIndex.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/PlacementIndex.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * Where shared prompt parts were sent lately, by this router and its peers. Bounded and thread-safe.
@@ -17,6 +18,8 @@
 public final class PlacementIndex {
     private static final int CAPACITY = 20_000;
     private static final int MAX_HOLDERS = 4;
+    // Parts that are read at one time, and those whose reading has failed.
+    private static final int MAX_READERS = 2_000;
     private static final float LOAD_FACTOR = 0.75f;
     // Placements that were not sent to the peers yet; older ones are dropped, which costs at most a transfer.
     private static final int MAX_UNSENT = 256;
@@ -30,6 +33,15 @@
         }
     };
     private final Map<Long, Long> readTokens = new HashMap<>();
+    // Needs no time limit: a holder that failed to read a part reads it when the next request follows the entry.
+    private final Map<Long, Long> readers = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
+            return size() > MAX_READERS;
+        }
+    };
     private final Deque<Placement> unsent = new ArrayDeque<>();
 
     /**
@@ -37,7 +49,7 @@
      *
      * @param part hash of cache salt and part
      * @param holder hash of the engine's key or the store's address
-     * @param tokens tokens that the holder has taken into its memory for the request
+     * @param tokens tokens that the holder has taken into its memory for the request; 0 while it still reads the part
      */
     public record Placement(long part, long holder, int tokens) {}
 
@@ -69,7 +81,18 @@
         return atUse != null && readTokens.getOrDefault(holder, 0L) - atUse < keptTokens;
     }
 
+    /** The holder that a request was sent to which reads a part; empty when the part was read since, or never. */
+    public synchronized OptionalLong reader(long part) {
+        Long reader = readers.get(part);
+        return reader == null ? OptionalLong.empty() : OptionalLong.of(reader);
+    }
+
     private void apply(Placement placement) {
+        if (placement.tokens() == 0) {
+            readers.put(placement.part(), placement.holder());
+            return;
+        }
+        readers.remove(placement.part(), placement.holder());
         long read = readTokens.merge(placement.holder(), (long) placement.tokens(), Long::sum);
         Map<Long, Long> uses = readTokensAtUse.computeIfAbsent(placement.part(), part -> new LinkedHashMap<>());
         uses.remove(placement.holder());
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
@@ -7,8 +7,14 @@
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.hash.Rendezvous;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
 
 /**
  * Where the shared parts of one prompt are.
@@ -31,8 +37,16 @@
     private final Optional<CacheStore> store;
     private final Optional<String> isolatedAccount;
     private final List<Candidate> candidates;
+    private final Map<Long, Whereabouts> byVersion = new HashMap<>();
 
-    /** Combines what is known about a prompt. */
+    /**
+     * Where the shared parts are for one version of the weights, looked up once for each decision.
+     *
+     * @param holders engines, by identity
+     */
+    private record Whereabouts(long part, Set<Candidate> holders, boolean inStore, OptionalLong reader) {}
+
+    /** Combines what is known about a prompt. Used by one thread. */
     public PromptCache(
             PlacementIndex index,
             Prompt prompt,
@@ -63,17 +77,51 @@
 
     /** Whether an engine probably has the shared parts. */
     public boolean holds(Candidate candidate) {
-        return index.holds(
-                part(candidate.weightsVersion()),
-                holder(candidate.upstream()),
-                profile.cacheTokens() * ENGINE_KEPT_SHARE);
+        return whereabouts(candidate).holders().contains(candidate);
     }
 
-    /** Whether any engine with the same weights probably has them. */
-    public boolean isHeldAnywhere(Candidate candidate) {
-        return storeHolds(candidate.weightsVersion())
+    /** Whether an engine was sent a request that makes it read the shared parts. */
+    public boolean isReading(Candidate candidate) {
+        OptionalLong reader = whereabouts(candidate).reader();
+        return reader.isPresent() && reader.getAsLong() == holder(candidate.upstream());
+    }
+
+    /** Whether any engine with the same weights, or the store, probably has them or reads them. */
+    public boolean isKnownAnywhere(Candidate candidate) {
+        Whereabouts known = whereabouts(candidate);
+        return known.inStore()
+                || !known.holders().isEmpty()
                 || candidates.stream()
-                        .anyMatch(other -> other.weightsVersion() == candidate.weightsVersion() && holds(other));
+                        .anyMatch(other -> other.weightsVersion() == candidate.weightsVersion() && isReading(other));
+    }
+
+    /** What to tell before a request is sent to an engine that has to get the shared parts first. */
+    public Optional<PlacementIndex.Placement> reading(Candidate chosen) {
+        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS || holds(chosen) || isReading(chosen)) {
+            return Optional.empty();
+        }
+        return Optional.of(new PlacementIndex.Placement(whereabouts(chosen).part(), holder(chosen.upstream()), 0));
+    }
+
+    private Whereabouts whereabouts(Candidate candidate) {
+        return whereabouts(candidate.weightsVersion());
+    }
+
+    private Whereabouts whereabouts(long weightsVersion) {
+        return byVersion.computeIfAbsent(weightsVersion, this::find);
+    }
+
+    private Whereabouts find(long weightsVersion) {
+        long part = part(weightsVersion);
+        Set<Candidate> holders = Collections.newSetFromMap(new IdentityHashMap<>());
+        candidates.stream()
+                .filter(candidate -> candidate.weightsVersion() == weightsVersion)
+                .filter(candidate ->
+                        index.holds(part, holder(candidate.upstream()), profile.cacheTokens() * ENGINE_KEPT_SHARE))
+                .forEach(holders::add);
+        boolean inStore = store.isPresent()
+                && index.holds(part, storeHolder(store.get()), store.get().capacityTokens() * STORE_KEPT_SHARE);
+        return new Whereabouts(part, holders, inStore, index.reader(part));
     }
 
     /** The quickest place to copy the shared parts from; empty when reading them again is the only way. */
@@ -86,14 +134,14 @@
         Optional<Source> best = Optional.empty();
         for (Candidate other : candidates) {
             boolean usable =
-                    !held && other != target && other.weightsVersion() == target.weightsVersion() && holds(other);
+                    !held && other != target && whereabouts(target).holders().contains(other);
             if (usable) {
                 double millis = transferMillis(
                         profile, other.upstream().zone(), target.upstream().zone());
                 best = quicker(best, new Source(other.upstream().address(), millis));
             }
         }
-        if (storeHolds(target.weightsVersion())) {
+        if (whereabouts(target).inStore()) {
             CacheStore from = store.orElseThrow();
             EngineProfile link = new EngineProfile(1, 0, profile.tokenBytes(), from.linkMegabitsPerSecond());
             double millis = transferMillis(link, from.zone(), target.upstream().zone());
@@ -104,7 +152,8 @@
 
     /** The store to save the parts to once they are read; empty when it probably has them. */
     public Optional<String> saveTo(long weightsVersion) {
-        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS || storeHolds(weightsVersion)) {
+        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS
+                || whereabouts(weightsVersion).inStore()) {
             return Optional.empty();
         }
         return store.map(CacheStore::address);
@@ -115,7 +164,7 @@
         if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
             return List.of();
         }
-        long part = part(chosen.weightsVersion());
+        long part = whereabouts(chosen).part();
         int own = prompt.inputTokens() - prompt.sharedTokens();
         int read = Math.max(0, holds(chosen) ? own : prompt.inputTokens());
         List<PlacementIndex.Placement> placements = new ArrayList<>();
@@ -126,14 +175,6 @@
         return placements;
     }
 
-    private boolean storeHolds(long weightsVersion) {
-        return store.isPresent()
-                && index.holds(
-                        part(weightsVersion),
-                        storeHolder(store.get()),
-                        store.get().capacityTokens() * STORE_KEPT_SHARE);
-    }
-
     private double transferMillis(EngineProfile link, String fromZone, String toZone) {
         double factor = fromZone.equals(toZone) ? 1 : CROSS_ZONE_FACTOR;
         return TRANSFER_SETUP_MILLIS + link.transferMillis(prompt.sharedTokens()) * factor;
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -24,7 +24,10 @@
     // Half of the requests of an upstream that fails in half of them have to be sent again, after about this time.
     private static final double FAILURE_MILLIS = 200;
     // Routers that read the same prefix for the first time at once meet at one engine instead of reading it twice.
-    private static final double NOT_HOME_MILLIS = 20;
+    private static final double NOT_HOME_MILLIS = 60;
+    // Share of the objective that a request waits for the engine which has or reads its prefix: a late answer has lost
+    // most of its worth, and a prefix read twice costs as much as the whole answer is worth.
+    private static final double READ_AGAIN_SHARE = 0.6;
     // An upstream with all slots taken costs at most this much more than an empty one, before requests wait.
     private static final double CROWDING_MILLIS = 20;
     // Time in which a run of some tens of tokens leaves its slot.
@@ -82,16 +85,27 @@
         UpstreamEstimate load = candidate.estimate();
         double work = prefillMillis(candidate, request.prompt(), cache) * load.speedPercent() / PERCENT;
         double millis = queueMillis(candidate, request) + work + suspicionMillis(candidate);
-        boolean away = home.isPresent()
-                && home.get() != candidate
-                && !cache.holds(candidate)
-                && !cache.isHeldAnywhere(candidate);
-        millis += away ? NOT_HOME_MILLIS : 0;
+        millis += readAgainMillis(candidate, home, request, cache);
         return candidate.weightsVersion() < request.newestVersion()
                 ? millis + request.objectiveMillis() * OLD_WEIGHTS_SHARE
                 : millis;
     }
 
+    // Reading a long prefix again holds the engine for as long as a late answer is late, and helps nobody.
+    private static double readAgainMillis(
+            Candidate candidate, Optional<Candidate> home, PromptRequest request, PromptCache cache) {
+        if (home.isEmpty()
+                || cache.holds(candidate)
+                || cache.isReading(candidate)
+                || cache.source(candidate).isPresent()) {
+            return 0;
+        }
+        if (cache.isKnownAnywhere(candidate)) {
+            return request.objectiveMillis() * READ_AGAIN_SHARE;
+        }
+        return home.get() == candidate ? 0 : NOT_HOME_MILLIS;
+    }
+
     private static double queueMillis(Candidate candidate, PromptRequest request) {
         UpstreamEstimate load = candidate.estimate();
         int slots = Math.max(1, request.profile().slots());
@@ -104,7 +118,8 @@
     private double prefillMillis(Candidate candidate, Prompt prompt, PromptCache cache) {
         int shared = prompt.sharedTokens();
         double own = Math.max(0, prompt.inputTokens() - shared) / settings.prefillTokensPerMilli();
-        if (cache.holds(candidate)) {
+        // An engine that is reading the prefix has that work in its backlog.
+        if (cache.holds(candidate) || cache.isReading(candidate)) {
             return own;
         }
         double read = shared / settings.prefillTokensPerMilli();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetFollower.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetFollower.java
@@ -44,6 +44,9 @@
     private static final long RELAYED_CHECK_MILLIS = 200;
     // Longer than the time between two reads of a router that no relay keeps current.
     private static final long RECENT_MILLIS = 1_000;
+    // Entries of upstreams change with each load of weights; half of the time in which an upstream that is leaving must
+    // be known.
+    private static final long DIRECTORY_READ_GAP_MILLIS = 1_500;
     // Several hints about one change cause one read.
     private static final long MIN_READ_GAP_MILLIS = 150;
 
@@ -117,7 +120,7 @@
     }
 
     /**
-     * Takes what a relay has read. The same content as here proves what is known here current; another one is read. To
+     * Takes what a relay has read. The same writes of the operator as here prove what is known here current; others are read. To
      * be called on the control thread.
      *
      * @param heard what the relay has read
@@ -125,13 +128,14 @@
      */
     public void heard(StoreContent heard, ConfigProof proof) {
         long nowMillis = timers.monotonicMillis();
-        if (heard.equals(content)) {
+        if (heard.operator().equals(content.operator())) {
             relayProof = Optional.of(proof);
             state.knowledge().proof().filter(known -> known.isOlderThan(proof)).ifPresent(known -> state.prove(proof));
-            return;
         }
-        long gapMillis = heard.newestRevision() > content.newestRevision() ? MIN_READ_GAP_MILLIS : pollMillis;
-        if (!reading && heard.newestRevision() >= content.newestRevision() && nowMillis - readMillis >= gapMillis) {
+        boolean operatorChanged = content.operator().mayBeOlderThan(heard.operator());
+        boolean upstreamsChanged = content.upstreams().mayBeOlderThan(heard.upstreams());
+        long gapMillis = operatorChanged ? MIN_READ_GAP_MILLIS : DIRECTORY_READ_GAP_MILLIS;
+        if (!reading && (operatorChanged || upstreamsChanged) && nowMillis - readMillis >= gapMillis) {
             readOnce(read -> {});
         }
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -161,8 +161,10 @@
         LoadDigest.Builder answer = LoadDigest.newBuilder().setAnsweredSequence(member.sequence());
         follower.content()
                 .ifPresent(content -> answer.setStore(StoreContentEntry.newBuilder()
-                        .setNewestRevision(content.newestRevision())
-                        .setDigest(content.digest())
+                        .setOperatorRevision(content.operator().newestRevision())
+                        .setOperatorDigest(content.operator().digest())
+                        .setUpstreamsRevision(content.upstreams().newestRevision())
+                        .setUpstreamsDigest(content.upstreams().digest())
                         .setAgeMillis(proofAgeMillis())));
         byte[] own = answer.build().toByteArray();
         byte[] packet = new byte[common.length + own.length];
@@ -258,12 +260,17 @@
 
     private void prove(LoadDigest digest) {
         StoreContentEntry store = digest.getStore();
-        if (store.getNewestRevision() == 0) {
+        if (!digest.hasStore()) {
             return;
         }
         sent.time(digest.getAnsweredSequence())
                 .map(time -> time.earlierBy(store.getAgeMillis()))
-                .ifPresent(
-                        proof -> follower.heard(new StoreContent(store.getNewestRevision(), store.getDigest()), proof));
+                .ifPresent(proof -> follower.heard(content(store), proof));
+    }
+
+    private static StoreContent content(StoreContentEntry store) {
+        return new StoreContent(
+                new StoreContent.Part(store.getOperatorRevision(), store.getOperatorDigest()),
+                new StoreContent.Part(store.getUpstreamsRevision(), store.getUpstreamsDigest()));
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -219,6 +219,9 @@
 
     private void send(FleetKnowledge known, Choice choice, long leftMillis) {
         tried.add(choice.candidate().upstream().key());
+        if (cache != null) {
+            cache.reading(choice.candidate()).ifPresent(context.state().placements()::placed);
+        }
         HttpFields.Mutable headers = HttpFields.build();
         context.ports().upstreams().encode(request.getHeaders(), upstreamCall(choice, leftMillis), headers);
         boolean hasBody =
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
@@ -113,7 +113,7 @@
     }
 
     private StoreContent content(List<FleetUpstream> upstreams) {
-        return new StoreContent(newest, upstreams.hashCode());
+        return new StoreContent(new StoreContent.Part(newest, newest), new StoreContent.Part(1, upstreams.hashCode()));
     }
 
     private static FleetUpstream upstream(String id, Engine engine) {
