Do not ask peers in a loop for a revision that none of them has

Cause: a router that was told of a revision asked its peers again as soon as one had answered, also when the answer brought nothing newer. The regular retry each 500 ms asks again.

--- a/agatelane-node/src/main/java/io/agatelane/node/config/ConfigSpread.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/config/ConfigSpread.java
@@ -120,11 +120,15 @@
             return;
         }
         lastAskedMillis = context.timers().monotonicMillis();
+        long before = reader.revision();
         Futures.whenDone(reader.fromPeer(vmName), context.control(), (unused, failure) -> {
             asked.remove(vmName);
             peerAnswered(vmName, failure);
             peerFailures = failure == null ? 0 : peerFailures + 1;
-            catchUp();
+            // A peer that has nothing newer after all is not asked again at once; the regular retry does that.
+            if (failure != null || reader.revision() > before) {
+                catchUp();
+            }
         });
     }
 
--- a/agatelane-node/src/test/java/io/agatelane/node/config/ConfigSpreadTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/config/ConfigSpreadTest.java
@@ -100,6 +100,18 @@
         assertTrue(readsPerRouter <= 2 + 2.0 / routers, "reads per router: " + readsPerRouter);
     }
 
+    /** Guards against routers that ask each other without a pause for a revision that none of them has. */
+    @Test
+    public void peerWithoutTheAnnouncedRevisionIsAskedInTurns() {
+        ConfigCluster cluster = ConfigCluster.of(3);
+        long before = peerReads(cluster);
+        cluster.node(1).router.announced(ConfigCluster.name(2), 100);
+        cluster.control.advance(10_000);
+        // One read for the announcement and one for each regular retry, which comes each 500 ms.
+        long reads = peerReads(cluster) - before;
+        assertTrue(reads <= 21, "peer reads: " + reads);
+    }
+
     /** Guards against a change that waits for the timeout of the peer that announced it. */
     @Test
     public void secondPeerIsAskedWhenTheFirstIsLate() {
