Divide the slack of the retry budget by the routers that there are

Cause: each router spent a twentieth of the slack, whatever the size of the fleet: with 80 routers four times the slack of the deployment. Before: WindowedRetryBudgetTest with the share of a twentieth fails for 58, 80 and 300 routers; after, it passes for 7 to 300. A router knows the others from the store's entries; ten are assumed until then.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/WindowedRetryBudget.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/WindowedRetryBudget.java
@@ -6,10 +6,15 @@
 /**
  * Bounds repeated sends to one service in a sliding window. Thread-safe.
  *
- * <p>All routers share one bound. Each spends a share of its own requests and a fixed number besides, so that the sum
+ * <p>All routers share one bound. Each spends a share of its own requests and a part of the slack besides, so that the sum
  * stays under the bound without any exchange.
  */
 public final class WindowedRetryBudget {
+    // Routers that restart have an empty window, so the parts of the slack add up to half of it at most.
+    private static final int SPARE_FACTOR = 2;
+    // A router that has just started knows few others; the part of a fleet of ten is small enough for it.
+    private static final int MIN_ROUTERS = 10;
+
     private final double ratio;
     private final int slack;
     private final long windowMillis;
@@ -20,7 +25,7 @@
      * Creates an empty window.
      *
      * @param ratio repeats allowed for each request of the window
-     * @param slack repeats allowed besides
+     * @param slack repeats that all routers together may send besides
      */
     public WindowedRetryBudget(double ratio, int slack, long windowMillis) {
         this.ratio = ratio;
@@ -34,10 +39,15 @@
         forget(nowMillis);
     }
 
-    /** Takes one repeated send; false when the budget is used up. */
-    public synchronized boolean tryTake(long nowMillis) {
+    /**
+     * Takes one repeated send; false when the budget is used up.
+     *
+     * @param routers routers that share the slack, as far as known
+     */
+    public synchronized boolean tryTake(long nowMillis, int routers) {
         forget(nowMillis);
-        if (retriesMillis.size() + 1 > ratio * requestsMillis.size() + slack) {
+        int part = slack / (SPARE_FACTOR * Math.max(MIN_ROUTERS, routers));
+        if (retriesMillis.size() + 1 > ratio * requestsMillis.size() + part) {
             return false;
         }
         retriesMillis.addLast(nowMillis);
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/WindowedRetryBudgetTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/WindowedRetryBudgetTest.java
@@ -12,45 +12,44 @@
 
 public class WindowedRetryBudgetTest {
     private static final double RATIO = 0.2;
-    private static final int SLACK = 54;
     private static final long WINDOW_MILLIS = 10_000;
-    private static final int ROUTERS = 9;
 
     @DataProvider
     public Object[][] seeds() {
-        return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
+        // Routers and slack of the deployments: small ones, and large ones whose slack does not grow with the fleet.
+        return new Object[][] {{1L, 9, 54}, {2L, 9, 54}, {3L, 7, 54}, {4L, 58, 156}, {5L, 80, 200}, {6L, 300, 200}};
     }
 
     // Guards against routers that each spend the whole budget: in no window do all together repeat more than allowed,
     // also when every send fails, demand swings and some routers restart with an empty window.
     @Test(dataProvider = "seeds")
-    public void allRoutersTogetherStayWithinTheBound(long seed) {
+    public void allRoutersTogetherStayWithinTheBound(long seed, int size, int slack) {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
         List<WindowedRetryBudget> routers = new ArrayList<>();
-        for (int i = 0; i < ROUTERS; i++) {
-            routers.add(budget());
+        for (int i = 0; i < size; i++) {
+            routers.add(budget(slack));
         }
         List<Long> requests = new ArrayList<>();
         List<Long> repeats = new ArrayList<>();
         for (long now = 0; now < 60_000; now += 1 + random.nextInt(now % 20_000 < 5_000 ? 5 : 50)) {
-            int router = random.nextInt(ROUTERS);
+            int router = random.nextInt(size);
             if (random.nextInt(2_000) == 0) {
-                routers.set(router, budget());
+                routers.set(router, budget(slack));
             }
             routers.get(router).recordRequest(now);
             requests.add(now);
-            while (routers.get(router).tryTake(now)) {
+            while (routers.get(router).tryTake(now, size)) {
                 repeats.add(now);
             }
         }
         for (long end = 0; end < 60_000; end += 500) {
-            long allowed = Math.round(RATIO * inWindow(requests, end) + SLACK);
+            long allowed = Math.round(RATIO * inWindow(requests, end) + slack);
             assertTrue(inWindow(repeats, end) <= allowed, "seed " + seed + ", window ending at " + end);
         }
     }
 
-    private static WindowedRetryBudget budget() {
-        return new WindowedRetryBudget(RATIO * 0.7, SLACK / 20, WINDOW_MILLIS);
+    private static WindowedRetryBudget budget(int slack) {
+        return new WindowedRetryBudget(RATIO * 0.7, slack, WINDOW_MILLIS);
     }
 
     private static long inWindow(List<Long> times, long endMillis) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -126,6 +126,7 @@
     public static FleetNode start(FleetSettings settings, PlatformAdapter adapter) {
         FleetNode node = new FleetNode(settings, adapter);
         node.follower.subscribe(node::applyLimits);
+        node.follower.subscribe(() -> node.state.routers(node.registry.others().size() + 1));
         node.server.start();
         node.registry.start();
         node.startGossip();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -35,6 +35,7 @@
     private final Set<String> replaced = ConcurrentHashMap.newKeySet();
     private final Map<Long, Long> reservedUntilMillis = new ConcurrentHashMap<>();
     private volatile Optional<CacheStore> cacheStore = Optional.empty();
+    private volatile int routers = 1;
     private volatile RolloutHints rolloutHints = RolloutHints.NONE;
     private volatile FleetKnowledge knowledge =
             new FleetKnowledge(FleetView.EMPTY, Optional.empty(), Map.of(), Map.of());
@@ -105,6 +106,16 @@
         rolloutHints = hints;
     }
 
+    /** Routers that have entered themselves in the store, this one included. */
+    public int routers() {
+        return routers;
+    }
+
+    /** Takes over how many routers there are. */
+    void routers(int known) {
+        routers = known;
+    }
+
     /** What the other routers have in flight. */
     public PeerLoads peers() {
         return peers;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -331,7 +331,7 @@
         return sendsSoFar < route.maxUpstreams()
                 && (!mayHaveRun || route.mayRunAgain())
                 && (!committed || (framer != null && framer.lastEventId().isPresent()))
-                && context.budget(service).tryTake(now);
+                && context.tryTakeRetry(service, now);
     }
 
     @Override
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -13,8 +13,7 @@
 
 /** What all requests of a router share. */
 public final class ForwardContext {
-    // All routers together may use the slack; a router does not know how many live, so each takes a fixed small part.
-    private static final int ROUTERS_SHARING_SLACK = 20;
+
     // Part of the ratio that is used, so that requests that the judge of the budget does not count cannot break it.
     private static final double USED_RATIO = 0.7;
     private volatile FleetSettings settings;
@@ -80,14 +79,17 @@
         return metrics;
     }
 
+    /** Takes one repeated send to a service from the budget; false when it is used up. */
+    boolean tryTakeRetry(String service, long nowMillis) {
+        return budget(service).tryTake(nowMillis, state.routers());
+    }
+
     /** Budget of repeated sends to a service. */
     WindowedRetryBudget budget(String service) {
         return budgets.computeIfAbsent(
                 service,
                 name -> new WindowedRetryBudget(
-                        settings.retryRatio() * USED_RATIO,
-                        settings.retrySlack() / ROUTERS_SHARING_SLACK,
-                        settings.retryWindowMillis()));
+                        settings.retryRatio() * USED_RATIO, settings.retrySlack(), settings.retryWindowMillis()));
     }
 
     /** Whether the process is about to end: answers then close their connections. */
