Stop requests that take upstreams down, over all routers

Change: a router counts for each request (method, path, account, body) how often an upstream broke off while running it, tells the others with its digests, and refuses it with 422 once three breaks are known; a sound answer or a minute without a break clears it. Reports name their router, so that those which come twice or back over a relay count once. Ruled out: two breaks as the limit: a hot request that runs on several crashing upstreams would be refused.

--- /dev/null
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/CrashSuspectsTest.java
@@ -0,0 +1,59 @@
+package io.agatelane.core.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.agatelane.core.fleet.command.CrashSuspects;
+import org.testng.annotations.Test;
+
+public class CrashSuspectsTest {
+    private static final long REQUEST = 7;
+
+    // Guards against a request that each router lets take down as many upstreams as if it were alone.
+    @Test
+    public void routersAddUpWhatTheySaw() {
+        CrashSuspects first = new CrashSuspects(1);
+        CrashSuspects second = new CrashSuspects(2);
+        first.crashed(REQUEST, 0);
+        first.crashed(REQUEST, 10);
+        first.takeUnsent().forEach(report -> second.heard(report, 20));
+        assertFalse(second.isQuarantined(REQUEST, 20));
+        second.crashed(REQUEST, 30);
+        assertTrue(second.isQuarantined(REQUEST, 30));
+        assertFalse(second.isQuarantined(REQUEST + 1, 30));
+    }
+
+    // Guards against reports that count again because they arrive twice or come back over a relay.
+    @Test
+    public void reportsCountOnce() {
+        CrashSuspects first = new CrashSuspects(1);
+        first.crashed(REQUEST, 0);
+        CrashReport report = first.takeUnsent().get(0);
+        first.heard(report, 1);
+        CrashSuspects second = new CrashSuspects(2);
+        second.heard(report, 1);
+        second.heard(report, 2);
+        second.heard(new CrashReport(REQUEST, 1, 2), 3);
+        second.heard(report, 4);
+        assertFalse(first.isQuarantined(REQUEST, 5));
+        assertFalse(second.isQuarantined(REQUEST, 5));
+        assertEquals(first.takeUnsent().size(), 0);
+    }
+
+    // Guards against an ordinary request that is refused because upstreams crashed for other reasons.
+    @Test
+    public void soundAnswerAndTimeClear() {
+        CrashSuspects suspects = new CrashSuspects(1);
+        for (int i = 0; i < CrashSuspects.QUARANTINE_CRASHES; i++) {
+            suspects.crashed(REQUEST, 0);
+            suspects.crashed(REQUEST + 1, 0);
+        }
+        assertTrue(suspects.isQuarantined(REQUEST, 1));
+        suspects.served(REQUEST);
+        assertFalse(suspects.isQuarantined(REQUEST, 1));
+        assertTrue(suspects.isQuarantined(REQUEST + 1, 1));
+        assertFalse(suspects.isQuarantined(REQUEST + 1, CrashSuspects.MEMORY_MILLIS));
+        assertTrue(suspects.isEmpty());
+    }
+}
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
@@ -1,8 +1,10 @@
 package io.agatelane.node.fleet;
 
+import io.agatelane.core.fleet.CrashReport;
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import io.agatelane.core.fleet.PrefillBacklog;
+import io.agatelane.wire.peer.CrashReportEntry;
 import io.agatelane.wire.peer.LoadDigest;
 import io.agatelane.wire.peer.LoadedWeightsEntry;
 import io.agatelane.wire.peer.PlacementEntry;
@@ -38,17 +40,27 @@
                 .toList();
     }
 
-    static void addPlacements(LoadDigest.Builder digest, List<Placement> placements) {
-        placements.forEach(placement -> digest.addPlacements(PlacementEntry.newBuilder()
-                .setPart(placement.part())
-                .setHolder(placement.holder())
-                .setTokens(placement.tokens())));
+    static void addTold(LoadDigest.Builder digest, Told told) {
+        told.crashes()
+                .forEach(report -> digest.addCrashes(CrashReportEntry.newBuilder()
+                        .setFingerprint(report.fingerprint())
+                        .setReporter(report.reporter())
+                        .setCount(report.count())));
+        told.placements()
+                .forEach(placement -> digest.addPlacements(PlacementEntry.newBuilder()
+                        .setPart(placement.part())
+                        .setHolder(placement.holder())
+                        .setTokens(placement.tokens())));
     }
 
-    static List<Placement> placements(LoadDigest digest) {
-        return digest.getPlacementsList().stream()
-                .map(entry -> new Placement(entry.getPart(), entry.getHolder(), entry.getTokens()))
-                .toList();
+    static Told told(LoadDigest digest) {
+        return new Told(
+                digest.getPlacementsList().stream()
+                        .map(entry -> new Placement(entry.getPart(), entry.getHolder(), entry.getTokens()))
+                        .toList(),
+                digest.getCrashesList().stream()
+                        .map(entry -> new CrashReport(entry.getFingerprint(), entry.getReporter(), entry.getCount()))
+                        .toList());
     }
 
     static void addHints(LoadDigest.Builder digest, RolloutHints hints) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -45,7 +45,7 @@
 
     private final FleetSettings settings;
     private final ControlThread control;
-    private final FleetState state = new FleetState();
+    private final FleetState state;
     private final ForwardContext context;
     private final ForwardHandler forward;
     private final FleetServer server;
@@ -62,6 +62,7 @@
 
     private FleetNode(FleetSettings settings, PlatformAdapter adapter) {
         this.settings = settings;
+        state = new FleetState(settings.vmName());
         control = new ControlThread(settings.vmName());
         MetricRegistry metrics = new MetricRegistry();
         threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -8,6 +8,7 @@
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex;
 import io.agatelane.core.fleet.UpstreamEstimate;
+import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.PeerLoads;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
@@ -29,6 +30,7 @@
 
     private final PeerLoads peers = new PeerLoads();
     private final PlacementIndex placements = new PlacementIndex();
+    private final CrashSuspects suspects;
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
     private final Map<String, Long> seenWeights = new ConcurrentHashMap<>();
     private final Map<String, NamedWeights> named = new ConcurrentHashMap<>();
@@ -40,6 +42,20 @@
     private volatile FleetKnowledge knowledge =
             new FleetKnowledge(FleetView.EMPTY, Optional.empty(), Map.of(), Map.of());
 
+    /**
+     * Creates a state in which nothing is known.
+     *
+     * @param vmName name of this router
+     */
+    public FleetState(String vmName) {
+        suspects = new CrashSuspects(Rendezvous.hash(vmName));
+    }
+
+    /** Requests that were running when upstreams broke off. */
+    public CrashSuspects suspects() {
+        return suspects;
+    }
+
     public FleetKnowledge knowledge() {
         return knowledge;
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.agatelane.core.fleet.ConfigProof;
 import io.agatelane.core.fleet.PeerLoad;
-import io.agatelane.core.fleet.PlacementIndex.Placement;
 import io.agatelane.core.fleet.command.PeerLoads.Source;
 import io.agatelane.node.api.StoreContent;
 import io.agatelane.node.api.TimerService;
@@ -13,7 +12,6 @@
 import io.agatelane.wire.peer.LoadDigest;
 import io.agatelane.wire.peer.StoreContentEntry;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Optional;
@@ -101,9 +99,9 @@
         sequence++;
         long nowMillis = timers.monotonicMillis();
         List<PeerLoad> loads = state.digest(nowMillis);
-        List<Placement> placements = state.placements().takeUnsent();
+        Told told = new Told(state.placements().takeUnsent(), state.suspects().takeUnsent());
         if (isDirect()) {
-            byte[] packet = digest(DigestKind.DIGEST_KIND_DIRECT, loads, placements, state.rolloutHints());
+            byte[] packet = digest(DigestKind.DIGEST_KIND_DIRECT, loads, told, state.rolloutHints());
             registry.others().forEach(other -> send(other.address(), packet));
             return;
         }
@@ -111,15 +109,15 @@
         noteRelay(relay);
         if (!relays.isRelay()) {
             ConfigProof time = new ConfigProof(nowMillis, timers.epochMillis());
-            sent.sent(sequence, time, loads, placements);
-            send(relay.address(), digest(DigestKind.DIGEST_KIND_TO_RELAY, loads, placements, state.rolloutHints()));
+            sent.sent(sequence, time, loads, told.placements());
+            send(relay.address(), digest(DigestKind.DIGEST_KIND_TO_RELAY, loads, told, state.rolloutHints()));
         }
         List<RelayOutbox.Member> members = outbox.members(nowMillis);
         if (relays.isRelay()) {
-            passOn(members, loads, placements, state.rolloutHints());
+            passOn(members, loads, told, state.rolloutHints());
         } else if (!members.isEmpty()) {
             // This router reports to another relay, so its own part must not be passed on from here as well.
-            passOn(members, List.of(), List.of(), RolloutHints.NONE);
+            passOn(members, List.of(), Told.NOTHING, RolloutHints.NONE);
         }
     }
 
@@ -136,22 +134,20 @@
         relayName = Optional.of(relay.vm());
     }
 
-    private void passOn(
-            List<RelayOutbox.Member> members, List<PeerLoad> loads, List<Placement> own, RolloutHints ownHints) {
+    private void passOn(List<RelayOutbox.Member> members, List<PeerLoad> loads, Told own, RolloutHints ownHints) {
         long nowMillis = timers.monotonicMillis();
-        List<Placement> placements = new ArrayList<>(own);
-        placements.addAll(outbox.takeFromMembers());
+        Told forRelays = own.plus(outbox.takeFromMembers());
         byte[] between = digest(
                 DigestKind.DIGEST_KIND_BETWEEN_RELAYS,
                 state.peers().merged(Set.of(Source.ROUTER), loads, nowMillis),
-                placements,
+                forRelays,
                 outbox.hintsForRelays(ownHints, nowMillis));
         relays.others(registry.others(), nowMillis).forEach(relay -> send(relay.address(), between));
-        placements.addAll(outbox.takeFromRelays());
+        Told forMembers = forRelays.plus(outbox.takeFromRelays());
         byte[] toMembers = digest(
                 DigestKind.DIGEST_KIND_FROM_RELAY,
                 state.peers().merged(EnumSet.allOf(Source.class), loads, nowMillis),
-                placements,
+                forMembers,
                 outbox.hintsForMembers(ownHints, nowMillis));
         members.forEach(member -> send(member.address(), withAnswer(toMembers, member)));
     }
@@ -180,14 +176,14 @@
                 .orElse(Long.MAX_VALUE);
     }
 
-    private byte[] digest(DigestKind kind, List<PeerLoad> loads, List<Placement> placements, RolloutHints hints) {
+    private byte[] digest(DigestKind kind, List<PeerLoad> loads, Told told, RolloutHints hints) {
         LoadDigest.Builder digest = LoadDigest.newBuilder()
                 .setKind(kind)
                 .setVm(self.vm())
                 .setIncarnation(incarnation)
                 .setSequence(sequence);
         DigestCodec.addLoads(digest, loads);
-        DigestCodec.addPlacements(digest, placements);
+        DigestCodec.addTold(digest, told);
         DigestCodec.addHints(digest, hints);
         return digest.build().toByteArray();
     }
@@ -213,7 +209,7 @@
 
     private void take(InetSocketAddress from, LoadDigest digest) {
         long nowMillis = timers.monotonicMillis();
-        List<Placement> placements = DigestCodec.placements(digest);
+        Told told = DigestCodec.told(digest);
         RolloutHints hints = DigestCodec.hints(digest);
         switch (digest.getKind()) {
             case DIGEST_KIND_DIRECT -> update(digest, Source.ROUTER, DigestCodec.loads(digest));
@@ -221,11 +217,11 @@
                 update(digest, Source.ROUTER, DigestCodec.loads(digest));
                 RelayOutbox.Member member =
                         new RelayOutbox.Member(from, digest.getIncarnation(), digest.getSequence(), nowMillis);
-                outbox.heardMember(digest.getVm(), member, placements, hints);
+                outbox.heardMember(digest.getVm(), member, told, hints);
             }
             case DIGEST_KIND_BETWEEN_RELAYS -> {
                 update(digest, Source.RELAY, DigestCodec.loads(digest));
-                outbox.heardRelay(digest.getVm(), placements, hints, nowMillis);
+                outbox.heardRelay(digest.getVm(), told, hints, nowMillis);
                 registry.others().stream()
                         .filter(other -> other.vm().equals(digest.getVm()))
                         .forEach(relay -> relays.heardOther(relay, nowMillis));
@@ -244,7 +240,8 @@
                     .info();
         }
         state.heard(hints, nowMillis);
-        placements.stream().filter(sent::isForeign).forEach(state.placements()::heard);
+        told.placements().stream().filter(sent::isForeign).forEach(state.placements()::heard);
+        told.crashes().forEach(report -> state.suspects().heard(report, nowMillis));
     }
 
     private void update(LoadDigest digest, Source source, List<PeerLoad> loads) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RelayOutbox.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RelayOutbox.java
@@ -1,8 +1,6 @@
 package io.agatelane.node.fleet;
 
-import io.agatelane.core.fleet.PlacementIndex.Placement;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -13,28 +11,26 @@
 final class RelayOutbox {
     // A router that has sent nothing for this long has another relay, or is gone.
     private static final long MEMBER_MILLIS = 1_000;
-    // Placements wait for one round only; more than this is a flood of which the rest is dropped.
-    private static final int MAX_PLACEMENTS = 2_000;
 
     private final Map<String, Member> members = new HashMap<>();
     private final Map<String, Hints> memberHints = new HashMap<>();
     private final Map<String, Hints> relayHints = new HashMap<>();
-    private final List<Placement> fromMembers = new ArrayList<>();
-    private final List<Placement> fromRelays = new ArrayList<>();
+    private Told fromMembers = Told.NOTHING;
+    private Told fromRelays = Told.NOTHING;
 
     /** A router that this one is the relay of. */
     record Member(InetSocketAddress address, long incarnation, long sequence, long heardMillis) {}
 
     private record Hints(RolloutHints hints, long heardMillis) {}
 
-    void heardMember(String vm, Member member, List<Placement> placements, RolloutHints hints) {
+    void heardMember(String vm, Member member, Told told, RolloutHints hints) {
         members.merge(vm, member, RelayOutbox::newer);
-        add(fromMembers, placements);
+        fromMembers = fromMembers.plus(told);
         memberHints.put(vm, new Hints(hints, member.heardMillis()));
     }
 
-    void heardRelay(String vm, List<Placement> placements, RolloutHints hints, long nowMillis) {
-        add(fromRelays, placements);
+    void heardRelay(String vm, Told told, RolloutHints hints, long nowMillis) {
+        fromRelays = fromRelays.plus(told);
         relayHints.put(vm, new Hints(hints, nowMillis));
     }
 
@@ -44,14 +40,18 @@
         return List.copyOf(members.values());
     }
 
-    /** Takes the placements that members have told since the last call. */
-    List<Placement> takeFromMembers() {
-        return take(fromMembers);
+    /** Takes what members have told since the last call. */
+    Told takeFromMembers() {
+        Told taken = fromMembers;
+        fromMembers = Told.NOTHING;
+        return taken;
     }
 
-    /** Takes the placements that other relays have told since the last call. */
-    List<Placement> takeFromRelays() {
-        return take(fromRelays);
+    /** Takes what other relays have told since the last call. */
+    Told takeFromRelays() {
+        Told taken = fromRelays;
+        fromRelays = Told.NOTHING;
+        return taken;
     }
 
     /** The hints of this router and its members; what relays have told goes to members only, so that it cannot circle. */
@@ -80,15 +80,4 @@
         boolean isNewer = sameStart ? heard.sequence() > known.sequence() : heard.incarnation() > known.incarnation();
         return isNewer ? heard : known;
     }
-
-    private static void add(List<Placement> list, List<Placement> placements) {
-        int free = Math.max(0, MAX_PLACEMENTS - list.size());
-        list.addAll(placements.subList(0, Math.min(free, placements.size())));
-    }
-
-    private static List<Placement> take(List<Placement> list) {
-        List<Placement> taken = List.copyOf(list);
-        list.clear();
-        return taken;
-    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.fleet.NamedWeights;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.Choice;
@@ -33,6 +34,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
@@ -138,6 +140,7 @@
             }
             FleetKnowledge known = context.state().knowledge();
             checkProof(known);
+            checkCrashes(now);
             Choice choice = choose(known, now, leftMillis);
             send(known, choice, leftMillis);
         } catch (AgatelaneException e) {
@@ -164,6 +167,19 @@
         }
     }
 
+    private void checkCrashes(long now) {
+        CrashSuspects suspects = context.state().suspects();
+        if (!suspects.isEmpty() && suspects.isQuarantined(fingerprint(), now)) {
+            context.metrics().counter("requests_quarantined_total").inc();
+            throw new AgatelaneException(
+                    FailureType.QUARANTINED_REQUEST, "upstreams have crashed while they ran this request");
+        }
+    }
+
+    private long fingerprint() {
+        return Fingerprint.of(request.getMethod(), request.getHttpURI().getPathQuery(), account, body);
+    }
+
     private Choice choose(FleetKnowledge known, long now, long leftMillis) {
         Optional<EngineProfile> engine =
                 known.config().flatMap(config -> config.service(service)).flatMap(FleetService::engine);
@@ -292,6 +308,12 @@
         return true;
     }
 
+    private void clearSuspicion() {
+        if (!context.state().suspects().isEmpty()) {
+            context.state().suspects().served(fingerprint());
+        }
+    }
+
     private void noteRefusal(Send send, UpstreamAnswer answer) {
         boolean otherUpstream = answer.upstreamId()
                 .filter(id -> !id.equals(send.upstream().id()))
@@ -365,6 +387,9 @@
             return;
         }
         sends++;
+        if (status < HttpStatus.INTERNAL_SERVER_ERROR_500) {
+            clearSuspicion();
+        }
         commit();
         byte[] rest = framer == null ? new byte[0] : framer.rest();
         finish("answered");
@@ -389,6 +414,9 @@
         }
         mayHaveRun = true;
         sends++;
+        if (!(failure instanceof TimeoutException)) {
+            context.state().suspects().crashed(fingerprint(), context.timers().monotonicMillis());
+        }
         next(send, "broken", failure.toString());
     }
 
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/GossipCluster.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/GossipCluster.java
@@ -58,7 +58,7 @@
 
     final class Router {
         final FakeRouterControl own = new FakeRouterControl(control);
-        final FleetState state = new FleetState();
+        final FleetState state;
         final FleetFollower follower;
         final RouterEntry entry;
         final LoadGossip gossip;
@@ -70,6 +70,7 @@
         private Router(int number) {
             String zone = "z" + number % ZONES;
             entry = new RouterEntry("vm-" + number, zone, new InetSocketAddress("127.0.0.1", 10_000 + number));
+            state = new FleetState(entry.vm());
             MetricRegistry metrics = new MetricRegistry();
             Random random = new Random(number);
             FleetSource source = () -> cutFromStore
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -185,7 +185,7 @@
     private Router router(int number) {
         FakeRouterControl own = new FakeRouterControl(control);
         MetricRegistry metrics = new MetricRegistry();
-        FleetState state = new FleetState();
+        FleetState state = new FleetState("vm-" + number);
         Random random = new Random(number);
         FleetFollower follower = new FleetFollower(fleet, state, own, own, random, POLL_MILLIS, metrics);
         String name = "vm-" + number;
