Draw a few upstreams for each request in a large fleet

Change: only a prefix of 500 tokens or more has a home. Above 13 routers each request compares a few upstreams: two of its zone and three over all, drawn by its id, or the five homes of its long prefix with those that hold or read it, and one or two with older weights. If none of them could take it, all are compared before it is refused.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptCache.java
@@ -75,6 +75,11 @@
         return isolatedAccount.map(account -> weightsVersion + "/" + account).orElse(Long.toString(weightsVersion));
     }
 
+    /** Whether the shared parts are long enough for it to matter where they are. */
+    public boolean hasLongPrefix() {
+        return prompt.sharedTokens() >= MIN_TRANSFER_TOKENS;
+    }
+
     /** Whether an engine probably has the shared parts. */
     public boolean holds(Candidate candidate) {
         return whereabouts(candidate).holders().contains(candidate);
@@ -97,7 +102,7 @@
 
     /** What to tell before a request is sent to an engine that has to get the shared parts first. */
     public Optional<PlacementIndex.Placement> reading(Candidate chosen) {
-        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS || holds(chosen) || isReading(chosen)) {
+        if (!hasLongPrefix() || holds(chosen) || isReading(chosen)) {
             return Optional.empty();
         }
         return Optional.of(new PlacementIndex.Placement(whereabouts(chosen).part(), holder(chosen.upstream()), 0));
@@ -126,7 +131,7 @@
 
     /** The quickest place to copy the shared parts from; empty when reading them again is the only way. */
     public Optional<Source> source(Candidate target) {
-        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
+        if (!hasLongPrefix()) {
             return Optional.empty();
         }
         // An engine that still has the parts copies nothing, so naming a source costs nothing when the guess was right.
@@ -152,8 +157,7 @@
 
     /** The store to save the parts to once they are read; empty when it probably has them. */
     public Optional<String> saveTo(long weightsVersion) {
-        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS
-                || whereabouts(weightsVersion).inStore()) {
+        if (!hasLongPrefix() || whereabouts(weightsVersion).inStore()) {
             return Optional.empty();
         }
         return store.map(CacheStore::address);
@@ -161,7 +165,7 @@
 
     /** What an engine that has read the prompt, and saved it when it was told to, holds from now on. */
     public List<PlacementIndex.Placement> placements(Candidate chosen, boolean saved) {
-        if (prompt.sharedTokens() < MIN_TRANSFER_TOKENS) {
+        if (!hasLongPrefix()) {
             return List.of();
         }
         long part = whereabouts(chosen).part();
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -53,7 +53,9 @@
 
     /** Picks an engine. */
     public Optional<Choice> chooseForPrompt(List<Candidate> candidates, PromptRequest request, PromptCache cache) {
-        Optional<Candidate> home = home(candidates, request.prompt(), request.newestVersion());
+        // Where a short prefix is read does not matter; sending all that share one to its home would crowd it.
+        Optional<Candidate> home =
+                cache.hasLongPrefix() ? home(candidates, request.prompt(), request.newestVersion()) : Optional.empty();
         return best(candidates, candidate -> promptMillis(candidate, home, request, cache))
                 .map(candidate -> new Choice(
                         candidate,
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -13,6 +13,7 @@
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.fleet.query.CandidateSample;
 import io.agatelane.core.fleet.query.Choice;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EventFramer;
@@ -230,7 +231,28 @@
                 account.filter(FleetAccount::isolated).map(FleetAccount::name),
                 allowed);
         PromptRequest wanted = new PromptRequest(prompt, engine, priority, newest, route.latencyObjectiveMillis());
-        return context.chooser().chooseForPrompt(allowed, wanted, cache);
+        List<Candidate> drawn = draw(allowed, prompt, newest);
+        Optional<Choice> choice = context.chooser().chooseForPrompt(drawn, wanted, cache);
+        boolean isBusy = choice.isEmpty()
+                || QueueRule.retryAfterMillis(choice.get(), route.latencyObjectiveMillis())
+                        .isPresent();
+        // A request is refused only when no engine at all could take it.
+        return isBusy && drawn.size() < allowed.size()
+                ? context.chooser().chooseForPrompt(allowed, wanted, cache)
+                : choice;
+    }
+
+    private List<Candidate> draw(List<Candidate> allowed, Prompt prompt, long newest) {
+        if (context.state().routers() <= CandidateSample.SMALL_FLEET) {
+            return allowed;
+        }
+        CandidateSample sample = new CandidateSample(context.settings().zone(), newest);
+        return cache.hasLongPrefix()
+                ? sample.forPrefix(
+                        allowed,
+                        prompt.sharedPrefixId(),
+                        candidate -> cache.holds(candidate) || cache.isReading(candidate))
+                : sample.forRequest(allowed, caller.id());
     }
 
     private void send(FleetKnowledge known, Choice choice, long leftMillis) {
