Split the selection of an upstream from the forwarding of a request

ForwardCall had 523 lines and mixed four steps of a choice with the states of a send. UpstreamSelection now selects or refuses; nothing else changes. 27 tests of the platform's module pass (forwarding, soak, configuration, boundary).

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetFollower.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetFollower.java
@@ -120,8 +120,8 @@
     }
 
     /**
-     * Takes what a relay has read. The same writes of the operator as here prove what is known here current; others are read. To
-     * be called on the control thread.
+     * Takes what a relay has read. The same writes of the operator as here prove what is known here current; others are
+     * read. To be called on the control thread.
      *
      * @param heard what the relay has read
      * @param proof when the relay's read is known to be current, in the clocks of this router
@@ -149,11 +149,7 @@
         if (closed) {
             return;
         }
-        if (reading) {
-            timers.after(RELAYED_CHECK_MILLIS, this::read);
-            return;
-        }
-        if (isKeptByRelay()) {
+        if (reading || isKeptByRelay()) {
             timers.after(RELAYED_CHECK_MILLIS, this::read);
             return;
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -3,24 +3,16 @@
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.Executed;
 import io.agatelane.core.failure.FailureType;
-import io.agatelane.core.fleet.EngineProfile;
 import io.agatelane.core.fleet.FleetAccount;
-import io.agatelane.core.fleet.FleetService;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.NamedWeights;
-import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
-import io.agatelane.core.fleet.query.Candidate;
-import io.agatelane.core.fleet.query.CandidateSample;
 import io.agatelane.core.fleet.query.Choice;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EventFramer;
 import io.agatelane.core.fleet.query.PromptCache;
-import io.agatelane.core.fleet.query.PromptRequest;
-import io.agatelane.core.fleet.query.QueueRule;
-import io.agatelane.core.fleet.query.WeightsRule;
 import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.api.UpstreamAnswer;
@@ -29,7 +21,6 @@
 import io.agatelane.node.util.EventLog;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -56,14 +47,9 @@
     private static final int MAX_UNSENT = 3;
     // Shortest time that is worth a send: a round trip between zones and the fastest answer.
     private static final long MIN_SEND_MILLIS = 15;
-    // Callers of a busy service come back after this time at least; a queue moves by some requests meanwhile.
-    private static final long BUSY_RETRY_MILLIS = 150;
     // An outdated proof is renewed by the next read of the store.
     private static final long STALE_RETRY_MILLIS = 500;
 
-    // Run time of a plain call before any was seen.
-    private static final double CALL_MILLIS = 40;
-
     private final ForwardContext context;
     private final Request request;
     private final Response response;
@@ -78,8 +64,9 @@
     private final Set<String> tried = new HashSet<>();
     private final int priority;
     private final EventFramer framer;
+    private final UpstreamSelection selection;
 
-    private PromptCache cache;
+    private Optional<PromptCache> cache = Optional.empty();
     private Optional<String> saveTo = Optional.empty();
     private CallerWatch watch;
     private Subscription deadlineTimer;
@@ -121,6 +108,7 @@
                         account.map(FleetAccount::priority).orElse(OptionalInt.empty()), route.priority(), prompt))
                 .orElse(0);
         this.framer = route.resumable() ? new EventFramer() : null;
+        this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
     }
 
     /** Sends the request for the first time. */
@@ -142,8 +130,9 @@
             FleetKnowledge known = context.state().knowledge();
             checkProof(known);
             checkCrashes(now);
-            Choice choice = choose(known, now, leftMillis);
-            send(known, choice, leftMillis);
+            UpstreamSelection.Selected selected = selection.select(known, tried, sends == 0, now, leftMillis);
+            cache = selected.cache();
+            send(known, selected.choice(), leftMillis);
         } catch (AgatelaneException e) {
             fail(mayHaveRun ? e.withExecuted(Executed.UNKNOWN) : e);
         } catch (RuntimeException e) {
@@ -181,85 +170,10 @@
         return Fingerprint.of(request.getMethod(), request.getHttpURI().getPathQuery(), account, body);
     }
 
-    private Choice choose(FleetKnowledge known, long now, long leftMillis) {
-        Optional<EngineProfile> engine =
-                known.config().flatMap(config -> config.service(service)).flatMap(FleetService::engine);
-        // A service without engines has no weights and no cache, whatever a caller states about a prompt.
-        Optional<Prompt> prompt = caller.prompt().filter(stated -> engine.isPresent());
-        List<Candidate> candidates = context.state().candidates(known, service, prompt.map(Prompt::model), tried, now);
-        cache = null;
-        Optional<Choice> choice = prompt.isPresent()
-                ? chooseEngine(known, candidates, prompt.get(), engine.get(), now)
-                : context.chooser().chooseForCall(candidates, CALL_MILLIS);
-        if (choice.isEmpty()) {
-            throw new AgatelaneException(FailureType.NO_UPSTREAM, "no upstream of " + service + " takes work")
-                    .withRetryAfterMillis(BUSY_RETRY_MILLIS);
-        }
-        OptionalLong busyMillis = sends == 0 && prompt.isPresent()
-                ? QueueRule.retryAfterMillis(choice.get(), route.latencyObjectiveMillis())
-                : OptionalLong.empty();
-        if (busyMillis.isPresent()) {
-            throw new AgatelaneException(
-                            FailureType.OVERLOADED,
-                            "every engine has a queue of "
-                                    + Math.round(choice.get().queueMillis()) + " ms or more")
-                    .withRetryAfterMillis(busyMillis.getAsLong());
-        }
-        double expected = choice.get().expectedMillis();
-        if (expected > leftMillis) {
-            long later = Math.max(BUSY_RETRY_MILLIS, Math.round(expected - leftMillis));
-            throw new AgatelaneException(
-                            FailureType.OVERLOADED,
-                            "the answer would take " + Math.round(expected) + " ms of " + leftMillis)
-                    .withRetryAfterMillis(later);
-        }
-        return choice.get();
-    }
-
-    private Optional<Choice> chooseEngine(
-            FleetKnowledge known, List<Candidate> candidates, Prompt prompt, EngineProfile engine, long now) {
-        Optional<NamedWeights> named = known.newestWeights(prompt.model());
-        List<Candidate> allowed = named.map(weights -> WeightsRule.allowed(
-                        candidates, weights, now, context.settings().weightsMillis()))
-                .orElse(candidates);
-        long newest = named.map(NamedWeights::newest).orElse(0L);
-        cache = new PromptCache(
-                context.state().placements(),
-                prompt,
-                engine,
-                context.state().cacheStore(),
-                account.filter(FleetAccount::isolated).map(FleetAccount::name),
-                allowed);
-        PromptRequest wanted = new PromptRequest(prompt, engine, priority, newest, route.latencyObjectiveMillis());
-        List<Candidate> drawn = draw(allowed, prompt, newest);
-        Optional<Choice> choice = context.chooser().chooseForPrompt(drawn, wanted, cache);
-        boolean isBusy = choice.isEmpty()
-                || QueueRule.retryAfterMillis(choice.get(), route.latencyObjectiveMillis())
-                        .isPresent();
-        // A request is refused only when no engine at all could take it.
-        return isBusy && drawn.size() < allowed.size()
-                ? context.chooser().chooseForPrompt(allowed, wanted, cache)
-                : choice;
-    }
-
-    private List<Candidate> draw(List<Candidate> allowed, Prompt prompt, long newest) {
-        if (context.state().routers() <= CandidateSample.SMALL_FLEET) {
-            return allowed;
-        }
-        CandidateSample sample = new CandidateSample(context.settings().zone(), newest);
-        return cache.hasLongPrefix()
-                ? sample.forPrefix(
-                        allowed,
-                        prompt.sharedPrefixId(),
-                        candidate -> cache.holds(candidate) || cache.isReading(candidate))
-                : sample.forRequest(allowed, caller.id());
-    }
-
     private void send(FleetKnowledge known, Choice choice, long leftMillis) {
         tried.add(choice.candidate().upstream().key());
-        if (cache != null) {
-            cache.reading(choice.candidate()).ifPresent(context.state().placements()::placed);
-        }
+        cache.flatMap(found -> found.reading(choice.candidate()))
+                .ifPresent(context.state().placements()::placed);
         HttpFields.Mutable headers = HttpFields.build();
         context.ports().upstreams().encode(request.getHeaders(), upstreamCall(choice, leftMillis), headers);
         boolean hasBody =
@@ -273,8 +187,8 @@
     private UpstreamCall upstreamCall(Choice choice, long leftMillis) {
         FleetUpstream upstream = choice.candidate().upstream();
         long version = choice.candidate().weightsVersion();
-        boolean isPrompt = cache != null;
-        saveTo = isPrompt ? cache.saveTo(version) : Optional.empty();
+        boolean isPrompt = cache.isPresent();
+        saveTo = cache.flatMap(found -> found.saveTo(version));
 
         return new UpstreamCall(
                 upstream.id(),
@@ -282,7 +196,7 @@
                 leftMillis,
                 isPrompt ? OptionalInt.of(priority) : OptionalInt.empty(),
                 isPrompt ? OptionalLong.of(version) : OptionalLong.empty(),
-                isPrompt ? Optional.of(cache.salt(version)) : Optional.empty(),
+                cache.map(found -> found.salt(version)),
                 choice.cacheSource(),
                 saveTo,
                 framer == null ? Optional.empty() : framer.lastEventId());
@@ -317,10 +231,8 @@
         }
         if (!failed) {
             load.succeeded(now);
-            if (cache != null) {
-                cache.placements(send.choice().candidate(), saveTo.isPresent())
-                        .forEach(context.state().placements()::placed);
-            }
+            cache.ifPresent(found -> found.placements(send.choice().candidate(), saveTo.isPresent())
+                    .forEach(context.state().placements()::placed));
             answer.weightsVersion().ifPresent(version -> context.state().sawWeights(send.upstream(), version));
         }
         if (!committed) {
@@ -466,7 +378,8 @@
     }
 
     private static AgatelaneException refusal(String detail) {
-        return new AgatelaneException(FailureType.OVERLOADED, detail).withRetryAfterMillis(BUSY_RETRY_MILLIS);
+        return new AgatelaneException(FailureType.OVERLOADED, detail)
+                .withRetryAfterMillis(UpstreamSelection.BUSY_RETRY_MILLIS);
     }
 
     private synchronized void onDeadline() {
