--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/WindowedRetryBudgetTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/WindowedRetryBudgetTest.java
@@ -16,8 +16,18 @@
 
     @DataProvider
     public Object[][] seeds() {
-        // Routers and slack of the deployments: small ones, and large ones whose slack does not grow with the fleet.
-        return new Object[][] {{1L, 9, 54}, {2L, 9, 54}, {3L, 7, 54}, {4L, 58, 156}, {5L, 80, 200}, {6L, 300, 200}};
+        // Seed, routers, slack: the small deployments, and large ones whose slack does not grow with the fleet.
+        return new Object[][] {
+            {1L, 9, 54},
+            {2L, 9, 54},
+            {3L, 9, 54},
+            {4L, 9, 54},
+            {5L, 9, 54},
+            {3L, 7, 54},
+            {4L, 58, 156},
+            {5L, 80, 200},
+            {6L, 300, 200}
+        };
     }
 
     // Guards against routers that each spend the whole budget: in no window do all together repeat more than allowed,
