Let a crashed engine of the tests serve nothing any more

The router asked the same engine for the rest and got it: FakeEngine closed its port and the connections it knew, but still served one that was just being accepted. Continuing on an engine that answers is what the router should do; the fake was not down. Change: after crash() the fake drops every request. The check stays as it was.

--- a/agatelane-node/src/test/java/io/agatelane/node/io/engine/FakeEngine.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/engine/FakeEngine.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -75,6 +76,7 @@
     private final ServerConnector connector = new ServerConnector(server);
     private final Map<String, Integer> held = new ConcurrentHashMap<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
+    private volatile boolean crashed;
 
     FakeEngine(String name) throws Exception {
         this.name = name;
@@ -93,6 +95,7 @@
 
     /** Closes the port and every connection, as a killed process would. */
     void crash() {
+        crashed = true;
         connector.close();
         connector.getConnectedEndPoints().forEach(endPoint -> endPoint.close());
     }
@@ -107,6 +110,12 @@
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) throws Exception {
+        if (crashed) {
+            // A connection that was just being accepted when the port was closed; a killed process serves none.
+            request.getConnectionMetaData().getConnection().getEndPoint().close();
+            callback.failed(new EofException("crashed"));
+            return true;
+        }
         String path = Request.getPathInContext(request);
         if (path.equals("/load")) {
             reply(response, callback, 200, load());
