--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
@@ -21,8 +21,8 @@
     // An event holds some tokens; one without an end would fill the memory of the router.
     private static final int MAX_EVENT_BYTES = 1 << 20;
 
+    private final EventScanner scanner = new EventScanner();
     private String lastEventId;
-    private boolean lineEmpty = true;
 
     /**
      * Adds bytes of the stream and returns the complete events up to now; an incomplete event is buffered.
@@ -30,17 +30,7 @@
      * @throws AgatelaneException with {@code UPSTREAM_FAILED} when an event does not end within 1 MB
      */
     public byte[] append(byte[] bytes) {
-        int end = 0;
-        for (int i = 0; i < bytes.length; i++) {
-            if (bytes[i] == '\n') {
-                if (lineEmpty) {
-                    end = i + 1;
-                }
-                lineEmpty = true;
-            } else if (bytes[i] != '\r') {
-                lineEmpty = false;
-            }
-        }
+        int end = scanner.scan(bytes);
         byte[] all = joined(pending, bytes);
         if (end == 0) {
             if (all.length > MAX_EVENT_BYTES) {
@@ -74,7 +64,17 @@
     /** Drops the buffered part of an event whose stream broke. */
     public void dropPartialEvent() {
         pending = NO_BYTES;
-        lineEmpty = true;
+        scanner.restart();
+    }
+
+    /** Whether the bytes up to now end in the middle of an event. */
+    public boolean isInsideEvent() {
+        return scanner.isInsideEvent();
+    }
+
+    /** Whether the bytes since the start or since a dropped event contain a whole event. */
+    public boolean hasEvent() {
+        return scanner.hasEvent();
     }
 
     /** Returns the id of the last complete event. */
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -12,7 +12,6 @@
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EngineRoom;
-import io.agatelane.core.fleet.query.EventFramer;
 import io.agatelane.core.fleet.query.PrefixLocator;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.node.api.CallerRequest;
@@ -70,7 +69,7 @@
     private final String service;
     private final Set<String> tried = new HashSet<>();
     private final int priority;
-    private final EventFramer framer;
+    private final RelayedBody relayedBody;
     private final UpstreamSelection selection;
 
     private Optional<PrefixLocator> prefixLocator = Optional.empty();
@@ -80,7 +79,6 @@
     private UpstreamAttempt current;
     private int attempts;
     private int failedConnects;
-    private long bodyBytes;
     private boolean isWaiting;
     private Subscription waitTimer;
     private boolean mayHaveRun;
@@ -120,7 +118,7 @@
                         prompt.inputTokens() / context.prefillSpeed(service).tokensPerMilli(),
                         route.latencyObjectiveMillis()))
                 .orElse(0);
-        this.framer = route.resumable() ? new EventFramer() : null;
+        this.relayedBody = new RelayedBody(route, context.settings().maxResponseBodyBytes());
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
     }
 
@@ -269,7 +267,7 @@
                 prefixLocator.map(locator -> locator.cacheSalt(version)),
                 choice.cacheSource(),
                 saveTo,
-                framer == null ? Optional.empty() : framer.lastEventId());
+                relayedBody.lastEventId());
     }
 
     @Override
@@ -313,6 +311,7 @@
             status = newStatus;
             upstreamHeaders = headers;
         }
+        relayedBody.begin(headers);
         return true;
     }
 
@@ -377,7 +376,7 @@
     private boolean mayRetry(int attemptsSoFar, long now) {
         return attemptsSoFar < route.maxUpstreams()
                 && (!mayHaveRun || route.mayRunAgain())
-                && (!committed || (framer != null && framer.lastEventId().isPresent()))
+                && (!committed || relayedBody.lastEventId().isPresent())
                 && context.tryTakeRetry(service, now);
     }
 
@@ -388,8 +387,7 @@
         }
         byte[] ready;
         try {
-            checkBodySize(bytes.length);
-            ready = framer == null ? bytes : framer.append(bytes);
+            ready = relayedBody.append(bytes);
         } catch (AgatelaneException e) {
             context.state()
                     .load(attempt.upstream())
@@ -405,15 +403,6 @@
         response.write(false, ByteBuffer.wrap(ready), Callback.from(more, failure -> onCallerGone()));
     }
 
-    private void checkBodySize(int addedBytes) {
-        bodyBytes += addedBytes;
-        long maxBytes = context.settings().maxResponseBodyBytes();
-        if (bodyBytes > maxBytes) {
-            throw new AgatelaneException(
-                    FailureType.UPSTREAM_FAILED, "the response is larger than " + maxBytes + " bytes");
-        }
-    }
-
     private void commit() {
         if (committed) {
             return;
@@ -435,7 +424,7 @@
             clearSuspicion();
         }
         commit();
-        byte[] rest = framer == null ? new byte[0] : framer.takeRemaining();
+        byte[] rest = relayedBody.takeRemaining();
         finish("answered");
         response.write(true, ByteBuffer.wrap(rest), callback);
     }
@@ -491,9 +480,7 @@
         ForwardLog.attemptEnded(
                 caller.id(), attempt.number(), attempt.upstream().key(), outcome, detail);
         current = null;
-        if (framer != null) {
-            framer.dropPartialEvent();
-        }
+        relayedBody.dropPartialEvent();
         dispatch();
     }
 
@@ -553,6 +540,7 @@
                 status,
                 outcome,
                 attempts,
+                relayedBody,
                 firstByteMillis,
                 context.timers().monotonicMillis() - arrivedMillis);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -84,6 +84,7 @@
             int status,
             String outcome,
             int attempts,
+            RelayedBody body,
             long firstByteMillis,
             long totalMillis) {
         LOG.event("request_ended")
@@ -92,6 +93,9 @@
                 .with("status", status)
                 .with("outcome", outcome)
                 .with("sends", attempts)
+                .with("framing", body.framing())
+                .with("body_bytes", body.totalBytes())
+                .with("inside_event", body.isInsideEvent())
                 .with("first_byte_ms", firstByteMillis)
                 .with("total_ms", totalMillis)
                 .info();
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
@@ -0,0 +1,88 @@
+package io.agatelane.node.forward;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.RequestKind;
+import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.query.EventFramer;
+import io.agatelane.core.fleet.query.EventScanner;
+import java.util.Locale;
+import java.util.Optional;
+import org.eclipse.jetty.http.HttpFields;
+
+/**
+ * The body of a response on its way to the caller, over all attempts that contribute to it.
+ *
+ * <p>Of a stream that another upstream may continue only whole events are passed on. Not thread-safe.
+ */
+final class RelayedBody {
+    private static final byte[] NO_BYTES = new byte[0];
+
+    private final long maxBytes;
+    private final boolean isStream;
+    private final Optional<EventFramer> framer;
+    private final EventScanner scanner = new EventScanner();
+    private Optional<ResponseFraming> framing = Optional.empty();
+    private long totalBytes;
+
+    RelayedBody(Route route, long maxBytes) {
+        this.maxBytes = maxBytes;
+        isStream = route.kind() == RequestKind.STREAM;
+        framer = route.resumable() ? Optional.of(new EventFramer()) : Optional.empty();
+    }
+
+    /** Begins the body of an attempt's response. */
+    void begin(HttpFields headers) {
+        framing = Optional.of(ResponseFraming.of(headers));
+    }
+
+    /**
+     * Adds bytes of the upstream and returns those that may be passed on.
+     *
+     * @throws AgatelaneException with {@code UPSTREAM_FAILED} when the body or an event of it is too large
+     */
+    byte[] append(byte[] bytes) {
+        totalBytes += bytes.length;
+        if (totalBytes > maxBytes) {
+            throw new AgatelaneException(
+                    FailureType.UPSTREAM_FAILED, "the response is larger than " + maxBytes + " bytes");
+        }
+        if (framer.isPresent()) {
+            return framer.get().append(bytes);
+        }
+        if (isStream) {
+            scanner.scan(bytes);
+        }
+        return bytes;
+    }
+
+    /** Removes and returns the bytes that were held back, for the end of a complete response. */
+    byte[] takeRemaining() {
+        return framer.map(EventFramer::takeRemaining).orElse(NO_BYTES);
+    }
+
+    /** Drops the part of an event whose stream broke, so that another upstream can continue before it. */
+    void dropPartialEvent() {
+        framer.ifPresent(EventFramer::dropPartialEvent);
+    }
+
+    /** Returns the id of the event after which another upstream can continue the stream. */
+    Optional<String> lastEventId() {
+        return framer.flatMap(EventFramer::lastEventId);
+    }
+
+    /** How the current attempt's response states its end, for the log. */
+    String framing() {
+        return framing.map(value -> value.name().toLowerCase(Locale.ROOT)).orElse("none");
+    }
+
+    /** Number of bytes that upstreams have sent. */
+    long totalBytes() {
+        return totalBytes;
+    }
+
+    /** Whether the bytes up to now end in the middle of an event. */
+    boolean isInsideEvent() {
+        return isStream && framer.map(EventFramer::isInsideEvent).orElseGet(scanner::isInsideEvent);
+    }
+}
