--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -21,6 +21,7 @@
 import io.agatelane.node.fleet.FleetSnapshot;
 import io.agatelane.node.io.http.ReadCredit;
 import io.agatelane.node.util.EventLog;
+import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
@@ -311,7 +312,7 @@
             status = newStatus;
             upstreamHeaders = headers;
         }
-        relayedBody.begin(headers);
+        relayedBody.begin(newStatus, headers);
         return true;
     }
 
@@ -419,6 +420,11 @@
         if (done || attempt != current) {
             return;
         }
+        Optional<String> breakReason = relayedBody.breakReason();
+        if (breakReason.isPresent()) {
+            onFailure(attempt, new EOFException(breakReason.get()));
+            return;
+        }
         attempts++;
         if (status < HttpStatus.INTERNAL_SERVER_ERROR_500) {
             clearSuspicion();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
@@ -9,6 +9,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 
 /**
  * The body of a response on its way to the caller, over all attempts that contribute to it.
@@ -23,6 +24,7 @@
     private final Optional<EventFramer> framer;
     private final EventScanner scanner = new EventScanner();
     private Optional<ResponseFraming> framing = Optional.empty();
+    private boolean isSuccess;
     private long totalBytes;
 
     RelayedBody(Route route, long maxBytes) {
@@ -32,7 +34,8 @@
     }
 
     /** Begins the body of an attempt's response. */
-    void begin(HttpFields headers) {
+    void begin(int status, HttpFields headers) {
+        isSuccess = HttpStatus.isSuccess(status);
         framing = Optional.of(ResponseFraming.of(headers));
     }
 
@@ -71,6 +74,20 @@
         return framer.flatMap(EventFramer::lastEventId);
     }
 
+    /** Returns why a response that has ended regularly, by its framing, was broken off; empty when it is complete. */
+    Optional<String> breakReason() {
+        if (!isStream || !isSuccess) {
+            return Optional.empty();
+        }
+        if (isInsideEvent()) {
+            return Optional.of("the stream ended inside an event");
+        }
+        // The end of a connection does not show that an upstream had nothing to send.
+        boolean isUnframed =
+                framing.filter(ResponseFraming.CONNECTION_END::equals).isPresent();
+        return isUnframed && !hasEvent() ? Optional.of("the stream ended before its first event") : Optional.empty();
+    }
+
     /** How the current attempt's response states its end, for the log. */
     String framing() {
         return framing.map(value -> value.name().toLowerCase(Locale.ROOT)).orElse("none");
@@ -85,4 +102,8 @@
     boolean isInsideEvent() {
         return isStream && framer.map(EventFramer::isInsideEvent).orElseGet(scanner::isInsideEvent);
     }
+
+    private boolean hasEvent() {
+        return framer.map(EventFramer::hasEvent).orElseGet(scanner::hasEvent);
+    }
 }
