Do not append an error response to a stream that is being continued

When the upstream that continues a broken stream answered with an error of its own (500 with no attempt left, or 404), the caller got the error's body as the end of the stream, framed as complete. Cause: the status of a response was looked at only as long as nothing had been passed on. A response that is no success is now unusable as a continuation: it is retried where that is allowed, otherwise the caller's connection is closed. ForwardingTest.errorResponseDoesNotContinueAStream: 2 of 2 cases failed before (the body contained the error), 2 pass.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -371,6 +371,9 @@
         if (upstreamResponse.contentEncoded()) {
             return Optional.of("the response body was transformed on the way");
         }
+        if (committed && !HttpStatus.isSuccess(newStatus)) {
+            return Optional.of("status " + newStatus + " instead of the rest of the response");
+        }
         return Optional.empty();
     }
 
