--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/Prompt.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/Prompt.java
@@ -14,12 +14,14 @@
         parts = List.copyOf(parts);
     }
 
+    /** Returns all parts except the last one. */
+    public List<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /** Returns the number of tokens in all parts except the last one. */
     public int sharedTokens() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .mapToInt(PromptPart::tokens)
-                .sum();
+        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
     }
 
     /** Returns the id of the longest shared prefix; empty when no part is shared. */
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -458,9 +458,9 @@
         mayHaveRun = true;
         attempts++;
         if (isConnectionLost(failure)) {
-            context.state()
-                    .suspects()
-                    .recordCrash(fingerprint(), context.timers().monotonicMillis());
+            long fingerprint = fingerprint();
+            ForwardLog.upstreamLost(attempt, caller, fingerprint, relayedBody.hasEvent());
+            context.state().suspects().recordCrash(fingerprint, context.timers().monotonicMillis());
         }
         retryOrFail(attempt, "broken", failure.toString());
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -2,12 +2,16 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.fleet.FleetConfig;
+import io.agatelane.core.fleet.Prompt;
+import io.agatelane.core.fleet.PromptPart;
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.UpstreamChoice;
+import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.fleet.FleetSnapshot;
 import io.agatelane.node.util.EventLog;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.eclipse.jetty.server.Request;
 
 /** Log lines and metrics of forwarded requests. */
@@ -76,6 +80,24 @@
                 .info();
     }
 
+    /** Logs that an upstream was lost under a request, with what other requests may have in common with it. */
+    static void upstreamLost(UpstreamAttempt attempt, CallerRequest caller, long fingerprint, boolean hasEvent) {
+        LOG.event("upstream_lost")
+                .with("id", caller.id())
+                .with("upstream", attempt.upstream().key())
+                .with("fingerprint", Long.toHexString(fingerprint))
+                .with(
+                        "shared_parts",
+                        caller.prompt().map(ForwardLog::sharedParts).orElse("none"))
+                .with("head", attempt.hasResponse())
+                .with("event", hasEvent)
+                .info();
+    }
+
+    private static String sharedParts(Prompt prompt) {
+        return prompt.sharedParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+    }
+
     /** Logs the end of a request. */
     static void ended(
             ForwardContext context,
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
@@ -103,7 +103,8 @@
         return isStream && framer.map(EventFramer::isInsideEvent).orElseGet(scanner::isInsideEvent);
     }
 
-    private boolean hasEvent() {
+    /** Whether the current attempt has delivered a whole event. */
+    boolean hasEvent() {
         return framer.map(EventFramer::hasEvent).orElseGet(scanner::hasEvent);
     }
 }
