--- a/agatelane-core/src/main/java/io/agatelane/core/failure/FailureType.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/failure/FailureType.java
@@ -19,6 +19,7 @@
     ACCOUNT_LIMIT("account-limit", 429, Executed.NO),
     OVERLOADED("overloaded", 503, Executed.NO),
     SHUTTING_DOWN("shutting-down", 503, Executed.NO),
+    QUARANTINED_PROMPT("quarantined-prompt", 503, Executed.NO),
     NO_UPSTREAM("no-upstream", 503, Executed.NO),
     PLATFORM_UNAVAILABLE("platform-unavailable", 503, Executed.NO),
     BOOKING_IN_PROGRESS("booking-in-progress", 409, Executed.UNKNOWN),
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
@@ -1,17 +1,20 @@
 package io.agatelane.node.fleet;
 
 import io.agatelane.core.fleet.CrashReport;
+import io.agatelane.core.fleet.PartReport;
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import io.agatelane.core.fleet.PrefillBacklog;
 import io.agatelane.wire.peer.CrashReportEntry;
 import io.agatelane.wire.peer.LoadDigest;
 import io.agatelane.wire.peer.LoadedWeightsEntry;
+import io.agatelane.wire.peer.PartReportEntry;
 import io.agatelane.wire.peer.PlacementEntry;
 import io.agatelane.wire.peer.UpstreamLoadEntry;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.stream.Collectors;
 
 /** Converts between the parts of a gossiped load digest and the router's own types. */
@@ -48,6 +51,7 @@
                         .setFingerprint(report.fingerprint())
                         .setReporter(report.reporter())
                         .setCount(report.count())));
+        events.partReports().forEach(report -> digest.addPartReports(encode(report)));
         events.placements()
                 .forEach(placement -> digest.addPlacements(PlacementEntry.newBuilder()
                         .setPart(placement.part())
@@ -62,7 +66,20 @@
                         .toList(),
                 digest.getCrashesList().stream()
                         .map(entry -> new CrashReport(entry.getFingerprint(), entry.getReporter(), entry.getCount()))
-                        .toList());
+                        .toList(),
+                digest.getPartReportsList().stream().map(DigestCodec::decode).toList());
+    }
+
+    private static PartReportEntry encode(PartReport report) {
+        PartReportEntry.Builder entry =
+                PartReportEntry.newBuilder().setPart(report.part()).setAgeMillis(report.ageMillis());
+        report.engine().ifPresent(entry::setEngine);
+        return entry.build();
+    }
+
+    private static PartReport decode(PartReportEntry entry) {
+        OptionalLong engine = entry.hasEngine() ? OptionalLong.of(entry.getEngine()) : OptionalLong.empty();
+        return new PartReport(entry.getPart(), engine, Math.max(0, entry.getAgeMillis()));
     }
 
     static void addHints(LoadDigest.Builder digest, RolloutHints hints) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
@@ -1,23 +1,28 @@
 package io.agatelane.node.fleet;
 
 import io.agatelane.core.fleet.CrashReport;
+import io.agatelane.core.fleet.PartReport;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import java.util.ArrayList;
 import java.util.List;
 
-/** Events that a digest reports once: uses of prompt parts, and crashes of upstreams. */
-record DigestEvents(List<Placement> placements, List<CrashReport> crashes) {
-    static final DigestEvents NONE = new DigestEvents(List.of(), List.of());
+/** Events that a digest reports: uses of prompt parts, crashes of upstreams, and parts under which engines ended. */
+record DigestEvents(List<Placement> placements, List<CrashReport> crashes, List<PartReport> partReports) {
+    static final DigestEvents NONE = new DigestEvents(List.of(), List.of(), List.of());
     // Events wait for one gossip period only; a surplus beyond this limit is dropped.
     private static final int MAX_EVENTS = 2_000;
 
     DigestEvents {
         placements = List.copyOf(placements);
         crashes = List.copyOf(crashes);
+        partReports = List.copyOf(partReports);
     }
 
     DigestEvents plus(DigestEvents other) {
-        return new DigestEvents(joined(placements, other.placements), joined(crashes, other.crashes));
+        return new DigestEvents(
+                joined(placements, other.placements),
+                joined(crashes, other.crashes),
+                joined(partReports, other.partReports));
     }
 
     private static <T> List<T> joined(List<T> first, List<T> second) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -9,6 +9,7 @@
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.UpstreamEstimate;
 import io.agatelane.core.fleet.command.CrashSuspects;
+import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.PeerLoads;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.Candidate;
@@ -34,6 +35,7 @@
     private final PeerLoads peers = new PeerLoads();
     private final PlacementIndex placements = new PlacementIndex();
     private final CrashSuspects suspects;
+    private final PartSuspects partSuspects = new PartSuspects();
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
     private final Map<String, Long> observedWeights = new ConcurrentHashMap<>();
     private final Map<String, RequestedWeights> requestedWeights = new ConcurrentHashMap<>();
@@ -58,6 +60,11 @@
         return suspects;
     }
 
+    /** Shared parts of prompts under which engines have ended. */
+    public PartSuspects partSuspects() {
+        return partSuspects;
+    }
+
     public FleetSnapshot snapshot() {
         return snapshot;
     }
@@ -163,7 +170,8 @@
         return reservedUntilMillis.getOrDefault(keyHash(upstream), 0L) > nowMillis;
     }
 
-    static long keyHash(FleetUpstream upstream) {
+    /** Fingerprint of one incarnation of an upstream, as in digests. */
+    public static long keyHash(FleetUpstream upstream) {
         return Rendezvous.hash(upstream.key());
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -100,7 +100,9 @@
         long nowMillis = timers.monotonicMillis();
         List<PeerLoad> loads = state.reportedLoads(nowMillis);
         DigestEvents events = new DigestEvents(
-                state.placements().takeUnsent(), state.suspects().takeUnsent());
+                state.placements().takeUnsent(),
+                state.suspects().takeUnsent(),
+                state.partSuspects().takeReports(nowMillis));
         if (isDirect()) {
             byte[] packet = digest(DigestKind.DIGEST_KIND_DIRECT, loads, events, state.rolloutHints());
             registry.others().forEach(other -> send(other.address(), packet));
@@ -244,6 +246,7 @@
         state.applyHints(hints, nowMillis);
         events.placements().stream().filter(sentDigests::isForeign).forEach(state.placements()::recordFromPeer);
         events.crashes().forEach(report -> state.suspects().mergeReport(report, nowMillis));
+        events.partReports().forEach(report -> state.partSuspects().merge(report, nowMillis));
     }
 
     private void update(LoadDigest digest, Source source, List<PeerLoad> loads) {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -5,10 +5,12 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.command.CrashSuspects;
+import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EngineRoom;
@@ -19,12 +21,14 @@
 import io.agatelane.node.api.UpstreamCall;
 import io.agatelane.node.api.UpstreamResponse;
 import io.agatelane.node.fleet.FleetSnapshot;
+import io.agatelane.node.fleet.FleetState;
 import io.agatelane.node.io.http.ReadCredit;
 import io.agatelane.node.util.EventLog;
 import java.io.EOFException;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -72,6 +76,7 @@
     private final int priority;
     private final RelayedBody relayedBody;
     private final UpstreamSelection selection;
+    private final List<Long> sharedParts;
 
     private Optional<PrefixLocator> prefixLocator = Optional.empty();
     private Optional<String> saveTo = Optional.empty();
@@ -120,6 +125,9 @@
                         route.latencyObjectiveMillis()))
                 .orElse(0);
         this.relayedBody = new RelayedBody(route, context.settings().maxResponseBodyBytes());
+        this.sharedParts = caller.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
+                .map(PartSuspects::fingerprint)
+                .toList();
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
     }
 
@@ -228,6 +236,13 @@
             throw new AgatelaneException(
                     FailureType.QUARANTINED_REQUEST, "upstreams have crashed while they ran this request");
         }
+        OptionalLong quarantineMillis = context.state().partSuspects().quarantineMillis(sharedParts, now);
+        if (quarantineMillis.isPresent()) {
+            context.metrics().counter("prompts_quarantined_total").inc();
+            throw new AgatelaneException(
+                            FailureType.QUARANTINED_PROMPT, "engines have crashed under a part of this prompt")
+                    .withRetryAfterMillis(quarantineMillis.getAsLong());
+        }
     }
 
     private long fingerprint() {
@@ -287,6 +302,7 @@
             return false;
         }
         mayHaveRun = true;
+        context.state().partSuspects().recordResponse(FleetState.keyHash(attempt.upstream()), attempt.startedMillis());
         if (unusable.isPresent()) {
             load.recordFailure(now);
             attempts++;
@@ -432,6 +448,11 @@
         if (status < HttpStatus.INTERNAL_SERVER_ERROR_500) {
             clearSuspicion();
         }
+        if (prefixLocator.isPresent() && HttpStatus.isSuccess(status)) {
+            context.state()
+                    .partSuspects()
+                    .recordAnswer(sharedParts, context.timers().monotonicMillis());
+        }
         commit();
         byte[] rest = relayedBody.takeRemaining();
         finish("answered");
@@ -459,8 +480,14 @@
         attempts++;
         if (isConnectionLost(failure)) {
             long fingerprint = fingerprint();
-            ForwardLog.upstreamLost(attempt, caller, fingerprint, relayedBody.hasEvent());
-            context.state().suspects().recordCrash(fingerprint, context.timers().monotonicMillis());
+            boolean hasEvent = relayedBody.hasEventOfAnyAttempt();
+            ForwardLog.upstreamLost(attempt, caller, fingerprint, hasEvent);
+            long now = context.timers().monotonicMillis();
+            context.state().suspects().recordCrash(fingerprint, now);
+            // Only an engine has prompts; a part that was written an answer on does not end engines.
+            if (prefixLocator.isPresent() && !hasEvent) {
+                context.state().partSuspects().recordEnd(sharedParts, FleetState.keyHash(attempt.upstream()), now);
+            }
         }
         retryOrFail(attempt, "broken", failure.toString());
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
@@ -103,8 +103,12 @@
         return isStream && framer.map(EventFramer::isInsideEvent).orElseGet(scanner::isInsideEvent);
     }
 
-    /** Whether the current attempt has delivered a whole event. */
-    boolean hasEvent() {
+    /** Whether an attempt has delivered a whole event. */
+    boolean hasEventOfAnyAttempt() {
+        return hasEvent() || lastEventId().isPresent();
+    }
+
+    private boolean hasEvent() {
         return framer.map(EventFramer::hasEvent).orElseGet(scanner::hasEvent);
     }
 }
