--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -302,13 +302,13 @@
             return false;
         }
         mayHaveRun = true;
-        context.state().partSuspects().recordResponse(FleetState.keyHash(attempt.upstream()), attempt.startedMillis());
         if (unusable.isPresent()) {
             load.recordFailure(now);
             attempts++;
             retryOrFail(attempt, "unusable", unusable.get());
             return false;
         }
+        context.state().partSuspects().recordResponse(FleetState.keyHash(attempt.upstream()), attempt.startedMillis());
         boolean failed = newStatus >= HttpStatus.INTERNAL_SERVER_ERROR_500;
         if (failed && !committed && deadlineMillis - now > MIN_ATTEMPT_MILLIS && mayRetry(attempts + 1, now)) {
             attempts++;
