--- a/review/standins/Case.java
+++ b/review/standins/Case.java
@@ -1,7 +1,10 @@
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.stream.Stream;
 
 /** Frame of a case: the store, some routers and workers, the record, and the exit status. */
 abstract class Case implements AutoCloseable {
@@ -89,12 +92,25 @@
         store.close();
     }
 
+    private void removeLogs() throws IOException {
+        if (System.getenv("KEEP_LOGS") != null) {
+            System.out.println("logs of the routers: " + logs);
+            return;
+        }
+        try (Stream<Path> files = Files.walk(logs)) {
+            for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(path);
+            }
+        }
+    }
+
     static void run(Case played) throws Exception {
         int status = NOT_RUN;
         Http.daemon(() -> {
             Thread.sleep(MAX_MILLIS);
             played.record.line("the case could not run: it has not ended after " + MAX_MILLIS + " ms");
             played.routers.forEach(Router::close);
+            played.removeLogs();
             Runtime.getRuntime().halt(NOT_RUN);
         });
         try {
@@ -107,15 +123,7 @@
         } finally {
             played.close();
         }
-        if (System.getenv("KEEP_LOGS") != null) {
-            System.out.println("logs of the routers: " + played.logs);
-        } else {
-            try (var files = Files.walk(played.logs)) {
-                for (Path path : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
-                    Files.delete(path);
-                }
-            }
-        }
+        played.removeLogs();
         Runtime.getRuntime().halt(status);
     }
 }
