Keep reading the store beside an entry that cannot be read

Cause: JsonCalls.parse handled JsonProcessingException only. Jackson guesses the encoding from the first four bytes and reports bytes that are no UTF-32 with a CharConversionException, a plain IOException, so one entry failed the read of everything. In an answer of the store or a report of an engine the same bytes left the call without any completion. Ruled out: the base64 of the entry, which is sound, and the depth of JSON, which Jackson reports with a JsonProcessingException.

The poller schedules its next read even when applying a read fails, which would have ended it for good.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -176,12 +176,16 @@
         ClockReading verifiedAt = new ClockReading(readStartedMillis, timers.epochMillis());
         Futures.whenDone(source.read(), control, (read, failure) -> {
             reading = false;
-            if (failure == null) {
-                apply(read, verifiedAt);
-            } else {
-                recordFailure(failure);
+            try {
+                if (failure == null) {
+                    apply(read, verifiedAt);
+                } else {
+                    recordFailure(failure);
+                }
+            } finally {
+                // Without the next read, content that cannot be applied would leave the router with outdated state.
+                then.accept(failure == null);
             }
-            then.accept(failure == null);
         });
     }
 
