Keep the loaded weights version of each model of an engine

Cause: what an engine has loaded was one number for all its models, the largest version in its report, in the roll-out itself, in its record in the store, in the gossiped hints and among the versions seen in answers. Ruled out: the reports and orders, which name the model. All of these now hold a version by model; a digest entry names the model by its hash. The order of a roll-out compares how far an engine is behind instead of versions of different models. Records and digests of an older build are read as unknown.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/RolloutSelector.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/RolloutSelector.java
@@ -38,17 +38,19 @@
         return upstreams.stream()
                 .filter(upstream -> isOutdated(upstream, newestWeightsVersions))
                 .filter(upstream -> !reserved.contains(upstream.id()))
-                .sorted(Comparator.comparingLong(RolloutSelector::oldestVersion)
+                .sorted(Comparator.comparingLong(
+                                (FleetUpstream upstream) -> -versionsBehind(upstream, newestWeightsVersions))
                         .thenComparingDouble(load)
                         .thenComparing(FleetUpstream::id))
                 .limit(Math.max(0, maxReserved - reserved.size()))
                 .toList();
     }
 
-    private static long oldestVersion(FleetUpstream upstream) {
-        return upstream.weightsVersions().values().stream()
-                .mapToLong(Long::longValue)
-                .min()
+    // Versions of different models cannot be compared with each other.
+    private static long versionsBehind(FleetUpstream upstream, Map<String, Long> newestWeightsVersions) {
+        return upstream.weightsVersions().entrySet().stream()
+                .mapToLong(loaded -> newestWeightsVersions.getOrDefault(loaded.getKey(), 0L) - loaded.getValue())
+                .max()
                 .orElse(0);
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
@@ -85,13 +85,18 @@
     static void addHints(LoadDigest.Builder digest, RolloutHints hints) {
         digest.addAllReserved(hints.reserved());
         hints.loaded()
-                .forEach((upstream, version) -> digest.addLoaded(
-                        LoadedWeightsEntry.newBuilder().setUpstream(upstream).setVersion(version)));
+                .forEach((loaded, version) -> digest.addLoaded(LoadedWeightsEntry.newBuilder()
+                        .setUpstream(loaded.upstream())
+                        .setModel(loaded.model())
+                        .setVersion(version)));
     }
 
     static RolloutHints hints(LoadDigest digest) {
-        Map<Long, Long> loaded = digest.getLoadedList().stream()
-                .collect(Collectors.toMap(LoadedWeightsEntry::getUpstream, LoadedWeightsEntry::getVersion, Math::max));
+        Map<ModelOnUpstream, Long> loaded = digest.getLoadedList().stream()
+                .collect(Collectors.toMap(
+                        entry -> new ModelOnUpstream(entry.getUpstream(), entry.getModel()),
+                        LoadedWeightsEntry::getVersion,
+                        Math::max));
         return new RolloutHints(new HashSet<>(digest.getReservedList()), loaded);
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetSnapshot.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetSnapshot.java
@@ -14,7 +14,7 @@
 public final class FleetSnapshot {
     private final FleetView view;
     private final Optional<ClockReading> configVerifiedAt;
-    private final Map<String, Long> loadedWeights;
+    private final Map<String, Map<String, Long>> loadedWeights;
     private final Map<String, RequestedWeights> requestedWeights;
     private final Map<String, List<FleetUpstream>> usable;
 
@@ -22,13 +22,13 @@
      * Creates a snapshot of a view.
      *
      * @param configVerifiedAt when the configuration was last verified as current; empty until the store was read once
-     * @param loadedWeights upstream key to the version that it is known to have loaded since its entry was written
+     * @param loadedWeights upstream key to the versions that it has loaded since its entry was written, by model
      * @param requestedWeights model to the versions of its weights that the operator requested
      */
     public FleetSnapshot(
             FleetView view,
             Optional<ClockReading> configVerifiedAt,
-            Map<String, Long> loadedWeights,
+            Map<String, Map<String, Long>> loadedWeights,
             Map<String, RequestedWeights> requestedWeights) {
         this.view = view;
         this.configVerifiedAt = configVerifiedAt;
@@ -73,7 +73,8 @@
     /** Version of a model's weights that an upstream has; 0 when it does not serve the model. */
     public long weightsVersion(FleetUpstream upstream, String model) {
         Long listed = upstream.weightsVersions().get(model);
-        return listed == null ? 0 : Math.max(listed, loadedWeights.getOrDefault(upstream.key(), 0L));
+        long loaded = loadedWeights.getOrDefault(upstream.key(), Map.of()).getOrDefault(model, 0L);
+        return listed == null ? 0 : Math.max(listed, loaded);
     }
 
     /** Versions of a model's weights that the operator requested; empty when unknown. */
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -37,7 +37,7 @@
     private final CrashSuspects suspects;
     private final PartSuspects partSuspects = new PartSuspects();
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
-    private final Map<String, Long> observedWeights = new ConcurrentHashMap<>();
+    private final Map<String, Map<String, Long>> observedWeights = new ConcurrentHashMap<>();
     private final Map<String, RequestedWeights> requestedWeights = new ConcurrentHashMap<>();
     private final Set<String> replaced = ConcurrentHashMap.newKeySet();
     private final Map<Long, Long> reservedUntilMillis = new ConcurrentHashMap<>();
@@ -70,7 +70,7 @@
     }
 
     /** Applies the result of a read of the store. */
-    public void update(FleetView view, ClockReading verifiedAt, Map<String, Long> loadedWeights) {
+    public void update(FleetView view, ClockReading verifiedAt, Map<String, Map<String, Long>> loadedWeights) {
         boolean hadRead = snapshot.configVerifiedAt().isPresent();
         RequestedWeights.FirstRead firstRead = new RequestedWeights.FirstRead(verifiedAt.monotonicMillis(), hadRead);
         view.newestWeightsVersions()
@@ -117,10 +117,14 @@
     }
 
     /** Records weights that an upstream has loaded, as seen by the holder of the roll-out lease. */
-    public void recordLoadedWeights(long upstreamHash, long version) {
-        snapshot.view().upstreams().stream()
-                .filter(known -> keyHash(known) == upstreamHash)
-                .forEach(known -> recordWeightsVersion(known, version));
+    public void recordLoadedWeights(ModelOnUpstream loaded, long version) {
+        for (FleetUpstream upstream : snapshot.view().upstreams()) {
+            if (keyHash(upstream) == loaded.upstream()) {
+                upstream.weightsVersions().keySet().stream()
+                        .filter(model -> Rendezvous.hash(model) == loaded.model())
+                        .forEach(model -> recordWeightsVersion(upstream, model, version));
+            }
+        }
     }
 
     /** The hints that this router announces to the others as holder of the roll-out lease. */
@@ -180,9 +184,11 @@
         return loads.computeIfAbsent(upstream.key(), key -> new UpstreamLoad());
     }
 
-    /** Records the version of the weights that a response was generated with. */
-    public void recordWeightsVersion(FleetUpstream upstream, long version) {
-        observedWeights.merge(upstream.key(), version, Math::max);
+    /** Records the version of a model's weights that a response was generated with. */
+    public void recordWeightsVersion(FleetUpstream upstream, String model, long version) {
+        observedWeights
+                .computeIfAbsent(upstream.key(), key -> new ConcurrentHashMap<>())
+                .merge(model, version, Math::max);
     }
 
     /** Records that another upstream responds at this one's address. */
@@ -193,7 +199,8 @@
     /** Version of a model's weights that an upstream has, from its entry and its responses; 0 when it has none. */
     public long weightsVersion(FleetSnapshot requestSnapshot, FleetUpstream upstream, String model) {
         long listed = requestSnapshot.weightsVersion(upstream, model);
-        return listed == 0 ? 0 : Math.max(listed, observedWeights.getOrDefault(upstream.key(), 0L));
+        long observed = observedWeights.getOrDefault(upstream.key(), Map.of()).getOrDefault(model, 0L);
+        return listed == 0 ? 0 : Math.max(listed, observed);
     }
 
     /**
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RelayOutbox.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RelayOutbox.java
@@ -67,10 +67,10 @@
     private static RolloutHints merged(RolloutHints first, Map<String, Hints> received, long nowMillis) {
         received.values().removeIf(entry -> nowMillis - entry.receivedMillis() > MEMBER_TIMEOUT_MILLIS);
         Set<Long> reserved = new HashSet<>(first.reserved());
-        Map<Long, Long> loaded = new HashMap<>(first.loaded());
+        Map<ModelOnUpstream, Long> loaded = new HashMap<>(first.loaded());
         received.values().forEach(entry -> {
             reserved.addAll(entry.hints().reserved());
-            entry.hints().loaded().forEach((upstream, version) -> loaded.merge(upstream, version, Math::max));
+            entry.hints().loaded().forEach((model, version) -> loaded.merge(model, version, Math::max));
         });
         return new RolloutHints(reserved, loaded);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutRecord.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutRecord.java
@@ -11,15 +11,16 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * What the holder of the roll-out lease publishes to the other routers through the store.
  *
  * @param holder VM that gives the orders
  * @param reserved ids of upstreams that take no requests because they are about to load weights
- * @param loadedWeights upstream key to the version that it has loaded
+ * @param loadedWeights upstream key to the versions that it has loaded, by model
  */
-public record RolloutRecord(String holder, Set<String> reserved, Map<String, Long> loadedWeights) {
+public record RolloutRecord(String holder, Set<String> reserved, Map<String, Map<String, Long>> loadedWeights) {
     /** Key of the record in the store. */
     public static final String KEY = "agatelane/rollout";
 
@@ -27,7 +28,8 @@
 
     public RolloutRecord {
         reserved = Set.copyOf(reserved);
-        loadedWeights = Map.copyOf(loadedWeights);
+        loadedWeights = loadedWeights.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, entry -> Map.copyOf(entry.getValue())));
     }
 
     /** Encodes the record as JSON. */
@@ -35,7 +37,7 @@
         ObjectNode node = MAPPER.createObjectNode().put("holder", holder);
         reserved.forEach(node.putArray("reserved")::add);
         ObjectNode loaded = node.putObject("loadedWeights");
-        loadedWeights.forEach(loaded::put);
+        loadedWeights.forEach((upstream, versions) -> versions.forEach(loaded.putObject(upstream)::put));
         try {
             return MAPPER.writeValueAsBytes(node);
         } catch (JsonProcessingException e) {
@@ -53,14 +55,21 @@
             JsonNode node = MAPPER.readTree(value);
             Set<String> reserved = new HashSet<>();
             node.path("reserved").forEach(id -> reserved.add(id.asText()));
-            Map<String, Long> loaded = new HashMap<>();
+            Map<String, Map<String, Long>> loaded = new HashMap<>();
             node.path("loadedWeights")
                     .fields()
-                    .forEachRemaining(
-                            entry -> loaded.put(entry.getKey(), entry.getValue().asLong()));
+                    .forEachRemaining(entry -> loaded.put(entry.getKey(), versions(entry.getValue())));
             return new RolloutRecord(node.path("holder").asText(), reserved, loaded);
         } catch (IOException e) {
             throw new AgatelaneException(FailureType.INVALID_OBJECT, "the roll-out record is not valid JSON", e);
         }
     }
+
+    private static Map<String, Long> versions(JsonNode node) {
+        Map<String, Long> versions = new HashMap<>();
+        node.fields()
+                .forEachRemaining(
+                        entry -> versions.put(entry.getKey(), entry.getValue().asLong()));
+        return versions;
+    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -4,7 +4,6 @@
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.core.fleet.query.RolloutSelector;
-import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.node.api.EngineControl;
 import io.agatelane.node.api.EngineStatus;
 import io.agatelane.node.api.OrderResponse;
@@ -59,7 +58,7 @@
     private final LongSupplier announceMillis;
     private final MetricRegistry metrics;
     private final Map<String, LoadTask> tasks = new LinkedHashMap<>();
-    private final Map<String, Long> loaded = new HashMap<>();
+    private final Map<String, Map<String, Long>> loaded = new HashMap<>();
     private final Map<String, Long> silentUntilMillis = new HashMap<>();
     private double loadMillis = Double.NaN;
     private long acquireAtMillis = Long.MAX_VALUE;
@@ -169,8 +168,9 @@
     private RolloutHints hints() {
         Set<Long> reserved = new HashSet<>();
         tasks.values().forEach(task -> reserved.add(FleetState.keyHash(task.upstream)));
-        Map<Long, Long> versions = new HashMap<>();
-        loaded.forEach((key, version) -> versions.put(Rendezvous.hash(key), version));
+        Map<ModelOnUpstream, Long> versions = new HashMap<>();
+        loaded.forEach((key, models) ->
+                models.forEach((model, version) -> versions.put(ModelOnUpstream.of(key, model), version)));
         return new RolloutHints(reserved, versions);
     }
 
@@ -236,12 +236,12 @@
     }
 
     private FleetUpstream withLoadedWeights(FleetUpstream upstream) {
-        Long version = loaded.get(upstream.key());
-        if (version == null) {
+        Map<String, Long> known = loaded.get(upstream.key());
+        if (known == null) {
             return upstream;
         }
         Map<String, Long> versions = new HashMap<>(upstream.weightsVersions());
-        versions.replaceAll((model, listed) -> Math.max(listed, version));
+        versions.replaceAll((model, listed) -> Math.max(listed, known.getOrDefault(model, listed)));
         return new FleetUpstream(
                 upstream.id(),
                 upstream.incarnation(),
@@ -303,7 +303,7 @@
             return;
         }
         if (outdated.isEmpty()) {
-            status.weightsVersions().values().forEach(version -> loaded.merge(task.upstream.key(), version, Math::max));
+            loaded.put(task.upstream.key(), status.weightsVersions());
             tasks.remove(task.upstream.key());
             recordLoad(task);
             metrics.counter("weights_loads_total").inc();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -321,8 +321,9 @@
             prefixLocator.ifPresent(
                     locator -> locator.placementsAfterPrefill(attempt.choice().candidate(), saveTo.isPresent())
                             .forEach(context.state().placements()::recordLocal));
-            upstreamResponse.weightsVersion().ifPresent(version -> context.state()
-                    .recordWeightsVersion(attempt.upstream(), version));
+            caller.prompt()
+                    .ifPresent(prompt -> upstreamResponse.weightsVersion().ifPresent(version -> context.state()
+                            .recordWeightsVersion(attempt.upstream(), prompt.model(), version)));
         }
         if (!committed) {
             status = newStatus;
@@ -356,14 +357,16 @@
             context.state().recordReplacement(attempt.upstream());
         } else if (upstreamResponse.refusedExpectation() && caller.prompt().isPresent()) {
             // The weights differ from the entry: most likely the upstream has loaded the newest ones since.
+            String model = caller.prompt().get().model();
             long newest = context.state()
                     .snapshot()
-                    .requestedWeights(caller.prompt().get().model())
+                    .requestedWeights(model)
                     .map(RequestedWeights::newest)
                     .orElse(0L);
             context.state()
                     .recordWeightsVersion(
                             attempt.upstream(),
+                            model,
                             upstreamResponse.weightsVersion().orElse(newest));
         } else {
             context.state()
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
@@ -21,9 +21,12 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
-/** Simulated engines with one model, and the weights version that the operator requests. Runs on the test's clock. */
+/** Simulated engines with two models, and the weights versions that the operator requests. Runs on the test's clock. */
 final class FakeFleet implements FleetSource, EngineControl {
     static final String MODEL = "m";
+    /** A second model of each engine; the operator requests newer weights of it only where a test does. */
+    static final String OTHER_MODEL = "other";
+
     private static final long LOAD_MILLIS = 1_800;
     private static final long TIMEOUT_MILLIS = 900;
 
@@ -31,7 +34,7 @@
     private final FakeKeyValueStore store;
     private final Map<String, Engine> engines = new HashMap<>();
     private final List<WeightsOrder> accepted = new ArrayList<>();
-    private long requestedVersion = 1;
+    private final Map<String, Long> requestedVersions = new HashMap<>(Map.of(MODEL, 1L, OTHER_MODEL, 1L));
     private long lostResponseDelayMillis = -1;
     private boolean storeDown;
     private int maxConcurrentLoads;
@@ -46,7 +49,7 @@
 
     private static final class Engine {
         private long incarnation = 1;
-        private long version = 1;
+        private final Map<String, Long> versions = new HashMap<>(Map.of(MODEL, 1L, OTHER_MODEL, 1L));
         private long orders;
         private long highestToken;
         private boolean busy;
@@ -55,7 +58,11 @@
     }
 
     void requestVersion(long version) {
-        requestedVersion = version;
+        requestVersion(MODEL, version);
+    }
+
+    void requestVersion(String model, long version) {
+        requestedVersions.put(model, version);
     }
 
     /** From now on orders get no response and are carried out after a delay; a negative delay ends that. */
@@ -82,7 +89,7 @@
     void restart(String id, long version) {
         Engine engine = engines.get(id);
         engine.incarnation++;
-        engine.version = version;
+        engine.versions.put(MODEL, version);
         engine.orders = 0;
         engine.highestToken = 0;
         engine.busy = false;
@@ -91,13 +98,17 @@
     /** Number of engines that have loaded a version. */
     long countWithVersion(long version) {
         return engines.values().stream()
-                .filter(engine -> engine.version == version)
+                .filter(engine -> engine.versions.get(MODEL) == version)
                 .count();
     }
 
     long oldestVersion() {
+        return oldestVersion(MODEL);
+    }
+
+    long oldestVersion(String model) {
         return engines.values().stream()
-                .mapToLong(engine -> engine.version)
+                .mapToLong(engine -> engine.versions.get(model))
                 .min()
                 .orElseThrow();
     }
@@ -122,13 +133,13 @@
                 upstreams.add(upstream(id, engine));
             }
         });
-        FleetView view = new FleetView(Optional.empty(), upstreams, Map.of(MODEL, requestedVersion), Set.of());
+        FleetView view = new FleetView(Optional.empty(), upstreams, requestedVersions, Set.of());
         return store.list("").thenApply(items -> new FleetReadResult(view, content(upstreams), items));
     }
 
     private StoreContentId content(List<FleetUpstream> upstreams) {
         return new StoreContentId(
-                new StoreContentId.EntrySetId(requestedVersion, requestedVersion),
+                new StoreContentId.EntrySetId(1, requestedVersions.hashCode()),
                 new StoreContentId.EntrySetId(1, upstreams.hashCode()));
     }
 
@@ -141,7 +152,7 @@
                 "z",
                 8,
                 false,
-                Map.of(MODEL, engine.version));
+                Map.copyOf(engine.versions));
     }
 
     @Override
@@ -156,7 +167,7 @@
             return lost;
         }
         return CompletableFuture.completedFuture(
-                new EngineStatus(engine.incarnation, engine.busy, engine.orders, Map.of(MODEL, engine.version)));
+                new EngineStatus(engine.incarnation, engine.busy, engine.orders, Map.copyOf(engine.versions)));
     }
 
     @Override
@@ -192,7 +203,7 @@
         control.after(LOAD_MILLIS, () -> {
             if (engine.incarnation == incarnation) {
                 engine.busy = false;
-                engine.version = order.version();
+                engine.versions.put(order.model(), order.version());
             }
         });
         return OrderResponse.STARTED;
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
@@ -84,6 +84,20 @@
         assertTrue(!other.state.isReserved(other.upstream(), cluster.control.monotonicMillis()));
     }
 
+    // Guards against the announced version of one model that is taken for the version of another one.
+    @Test
+    public void announcedWeightsCountForTheirModelOnly() {
+        GossipCluster cluster = new GossipCluster(40);
+        GossipCluster.Router holder = cluster.routers.get(5);
+        ModelOnUpstream loaded = ModelOnUpstream.of(holder.upstream().key(), FakeFleet.OTHER_MODEL);
+        holder.state.setRolloutHints(new RolloutHints(Set.of(), Map.of(loaded, 7L)));
+        cluster.control.advance(PROPAGATION_MILLIS);
+        GossipCluster.Router other = cluster.routers.get(7);
+        FleetSnapshot snapshot = other.state.snapshot();
+        assertEquals(other.state.weightsVersion(snapshot, other.upstream(), FakeFleet.OTHER_MODEL), 7);
+        assertEquals(other.state.weightsVersion(snapshot, other.upstream(), FakeFleet.MODEL), 1);
+    }
+
     // Guards against calls to the store that grow with the fleet while nothing changes.
     @Test
     public void relaysReadForTheOthers() {
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.node.api.WeightsOrder;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
@@ -13,6 +14,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
@@ -108,6 +111,31 @@
                 "loads: " + fleet.accepted().size());
     }
 
+    // Guards against routers that take the version which an engine has loaded of one model for that of its other model:
+    // requests of the other one then expect weights that no engine has, and its own newer weights are never ordered.
+    @Test
+    public void newWeightsOfOneModelDoNotCountForAnother() {
+        fleet.requestVersion(FakeFleet.OTHER_MODEL, 2);
+        control.advance(ALLOWED_MILLIS);
+        assertEquals(fleet.oldestVersion(FakeFleet.OTHER_MODEL), 2);
+        routers.forEach(router -> assertEquals(knownVersions(router, FakeFleet.MODEL), Set.of(1L)));
+        fleet.requestVersion(FakeFleet.MODEL, 2);
+        control.advance(ALLOWED_MILLIS);
+        assertEquals(fleet.oldestVersion(FakeFleet.MODEL), 2);
+        assertEquals(fleet.accepted().size(), 2 * ENGINES);
+        routers.forEach(router -> assertEquals(knownVersions(router, FakeFleet.MODEL), Set.of(2L)));
+    }
+
+    // Guards against an observed version of one model that is taken for the version of another one.
+    @Test
+    public void observedVersionCountsForItsModelOnly() {
+        FleetState state = routers.get(0).state();
+        FleetUpstream upstream = state.snapshot().view().upstreams().get(0);
+        state.recordWeightsVersion(upstream, FakeFleet.OTHER_MODEL, 7);
+        assertEquals(state.weightsVersion(state.snapshot(), upstream, FakeFleet.MODEL), 1);
+        assertEquals(state.weightsVersion(state.snapshot(), upstream, FakeFleet.OTHER_MODEL), 7);
+    }
+
     // Guards against a roll-out that ends when its holder fails, and against a new holder that starts too early.
     @Test
     public void anotherRouterTakesOver() {
@@ -202,6 +230,13 @@
         assertEquals(upstreamCount(), ENGINES - 1);
     }
 
+    private static Set<Long> knownVersions(Router router, String model) {
+        FleetSnapshot snapshot = router.state().snapshot();
+        return snapshot.view().upstreams().stream()
+                .map(upstream -> router.state().weightsVersion(snapshot, upstream, model))
+                .collect(Collectors.toSet());
+    }
+
     private int upstreamCount() {
         return routers.get(0).state().snapshot().view().upstreams().size();
     }
