Tell restarted routers when weights were replaced

Cause: a router counted the time for which replaced weights may be used from its own first read, for whatever version an engine had. The record of the roll-out's holder now names the time of its first read of each version, and a router that starts takes over the times that it does not know. Where none is known, only the newest of the old weights are used. The age also counts the time of a suspension, as that of the configuration does.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EngineCandidates.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EngineCandidates.java
@@ -1,5 +1,6 @@
 package io.agatelane.core.fleet.query;
 
+import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.EngineProfile;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestedWeights;
@@ -25,17 +26,18 @@
      * Divides candidates by weights and room.
      *
      * @param requested versions that the operator has requested; empty when unknown
+     * @param now current time
      * @param allowedMillis time for which replaced weights may still be used after the newer version was requested
      */
     public static EngineCandidates of(
             List<Candidate> all,
             Optional<RequestedWeights> requested,
-            long nowMillis,
+            ClockReading now,
             long allowedMillis,
             Prompt prompt,
             EngineProfile profile) {
         List<Candidate> allowed = requested
-                .map(weights -> StaleWeightsFilter.allowedCandidates(all, weights, nowMillis, allowedMillis))
+                .map(weights -> StaleWeightsFilter.allowedCandidates(all, weights, now, allowedMillis))
                 .orElse(all);
         List<Candidate> withRoom = allowed.stream()
                 .filter(candidate -> EngineRoom.hasRoom(candidate, prompt, profile))
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/StaleWeightsFilter.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/StaleWeightsFilter.java
@@ -1,6 +1,8 @@
 package io.agatelane.core.fleet.query;
 
+import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.RequestedWeights;
+import io.agatelane.core.fleet.RequestedWeights.RequestTime;
 import java.util.List;
 import java.util.Optional;
 
@@ -18,26 +20,30 @@
     /**
      * Returns the candidates that may still start a request.
      *
+     * @param now current time
      * @param allowedMillis time for which replaced weights may still be used after the newer version was requested
      */
     public static List<Candidate> allowedCandidates(
-            List<Candidate> candidates, RequestedWeights requested, long nowMillis, long allowedMillis) {
-        List<Candidate> newest = candidates.stream()
-                .filter(candidate -> candidate.weightsVersion() >= requested.newest())
-                .toList();
+            List<Candidate> candidates, RequestedWeights requested, ClockReading now, long allowedMillis) {
+        long newestOfAll =
+                candidates.stream().mapToLong(Candidate::weightsVersion).max().orElse(0);
         return candidates.stream()
-                .filter(candidate -> isAllowed(candidate, requested, nowMillis, allowedMillis, newest.isEmpty()))
+                .filter(candidate -> isAllowed(
+                        requested.replacementOf(candidate.weightsVersion()),
+                        candidate.weightsVersion() == newestOfAll,
+                        now,
+                        allowedMillis))
                 .toList();
     }
 
     private static boolean isAllowed(
-            Candidate candidate, RequestedWeights requested, long nowMillis, long allowedMillis, boolean noneIsNewest) {
-        Optional<RequestedWeights.FirstRead> replacement = requested.replacementOf(candidate.weightsVersion());
+            Optional<RequestTime> replacement, boolean hasNewestOfAll, ClockReading now, long allowedMillis) {
         if (replacement.isEmpty()) {
             return true;
         }
-        boolean inTime = nowMillis - replacement.get().firstSeenMillis() < allowedMillis - MARGIN_MILLIS;
-        // A restarted router does not know how long ago the newer version was requested.
-        return inTime && (replacement.get().requestTimeKnown() || noneIsNewest);
+        boolean inTime = replacement.get().readAt().ageMillis(now.monotonicMillis(), now.epochMillis())
+                < allowedMillis - MARGIN_MILLIS;
+        // A restarted router may not know how long ago the newer version was requested.
+        return inTime && (replacement.get().isKnown() || hasNewestOfAll);
     }
 }
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/EngineCandidatesTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/EngineCandidatesTest.java
@@ -22,7 +22,8 @@
     // on them because all engines with the newest weights are full.
     @Test
     public void fullEngineWithTheNewestWeightsIsWaitedFor() {
-        RequestedWeights requested = RequestedWeights.of(2, new RequestedWeights.FirstRead(0, false));
+        RequestedWeights requested =
+                RequestedWeights.of(2, new RequestedWeights.RequestTime(new ClockReading(0, 0), false));
         EngineCandidates candidates = candidates(requested, 1_000);
         assertEquals(candidates.allowed(), List.of(fullWithNewest));
         assertTrue(candidates.isFull());
@@ -32,8 +33,9 @@
     // Guards against prompts that wait although replaced weights may still be used.
     @Test
     public void replacedWeightsAreUsedWhileTheyAreAllowed() {
-        RequestedWeights requested = RequestedWeights.of(1, new RequestedWeights.FirstRead(0, true))
-                .with(2, new RequestedWeights.FirstRead(0, true));
+        RequestedWeights requested = RequestedWeights.of(
+                        1, new RequestedWeights.RequestTime(new ClockReading(0, 0), true))
+                .with(2, new RequestedWeights.RequestTime(new ClockReading(0, 0), true));
         assertEquals(candidates(requested, 1_000).withRoom(), List.of(idleWithReplaced));
         assertFalse(candidates(requested, 1_000).isFull());
         assertTrue(candidates(requested, ALLOWED_MILLIS).isFull());
@@ -43,7 +45,7 @@
         return EngineCandidates.of(
                 List.of(fullWithNewest, idleWithReplaced),
                 Optional.of(requested),
-                nowMillis,
+                new ClockReading(nowMillis, nowMillis),
                 ALLOWED_MILLIS,
                 PROMPT,
                 FleetFixtures.PROFILE);
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/StaleWeightsFilterTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/StaleWeightsFilterTest.java
@@ -5,11 +5,12 @@
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.StaleWeightsFilter;
 import java.util.List;
+import java.util.Map;
 import org.testng.annotations.Test;
 
 public class StaleWeightsFilterTest {
     private static final long ALLOWED_MILLIS = 12_000;
-    private static final RequestedWeights.FirstRead SEEN_AT_ZERO = new RequestedWeights.FirstRead(0, true);
+    private static final RequestedWeights.RequestTime SEEN_AT_ZERO = readAt(0, true);
 
     // Guards against an engine that was unreachable, returns with old weights and receives requests again.
     @Test
@@ -21,9 +22,8 @@
     // Guards against an age that restarts with each further version: 1 was replaced when 2 was requested, not 3.
     @Test
     public void ageCountsFromTheFirstReplacement() {
-        RequestedWeights requested = RequestedWeights.of(1, SEEN_AT_ZERO)
-                .with(2, SEEN_AT_ZERO)
-                .with(3, new RequestedWeights.FirstRead(8_000, true));
+        RequestedWeights requested =
+                RequestedWeights.of(1, SEEN_AT_ZERO).with(2, SEEN_AT_ZERO).with(3, readAt(8_000, true));
         assertEquals(allowed(requested, 11_000, 1, 2), List.of(2L));
         assertEquals(allowed(requested, 9_000, 1, 2), List.of(1L, 2L));
     }
@@ -31,7 +31,7 @@
     // Guards against a restarted router that uses the time of its first read as the time of the request for a version.
     @Test
     public void restartedRouterUsesOldWeightsOnlyWithoutNewerOnes() {
-        RequestedWeights requested = RequestedWeights.of(2, new RequestedWeights.FirstRead(1_000, false));
+        RequestedWeights requested = RequestedWeights.of(2, readAt(1_000, false));
         assertEquals(allowed(requested, 1_100, 1, 2), List.of(2L));
         assertEquals(allowed(requested, 1_100, 1, 1), List.of(1L, 1L));
     }
@@ -42,11 +42,53 @@
         assertEquals(allowed(RequestedWeights.of(1, SEEN_AT_ZERO), 900_000, 1, 1), List.of(1L, 1L));
     }
 
+    // Guards against a restarted router that sends requests to an engine which returns with weights that were replaced
+    // several versions ago, because no engine has the newest weights yet.
+    @Test
+    public void restartedRouterUsesTheNewestOfTheOldWeights() {
+        RequestedWeights requested = RequestedWeights.of(5, readAt(1_000, false));
+        assertEquals(allowed(requested, 1_100, 1, 3, 4, 4), List.of(4L, 4L));
+    }
+
+    // Guards against a restarted router that counts from its own first read although another router knows the time.
+    @Test
+    public void reportedRequestTimesReplaceUnknownOnes() {
+        RequestedWeights requested = RequestedWeights.of(3, readAt(14_000, false))
+                .withReported(Map.of(2L, new ClockReading(0, 0), 3L, new ClockReading(8_000, 8_000)));
+        assertEquals(allowed(requested, 14_100, 1, 2), List.of(2L));
+        assertEquals(allowed(requested, 18_000, 1, 2), List.of());
+    }
+
+    // Guards against a report that changes a time which this router knows itself, and against a version from a report
+    // that the store does not hold.
+    @Test
+    public void reportedRequestTimesOnlyAddToOwnOnes() {
+        RequestedWeights requested = RequestedWeights.of(1, SEEN_AT_ZERO)
+                .with(2, readAt(5_000, true))
+                .withReported(Map.of(2L, new ClockReading(0, 0), 9L, new ClockReading(0, 0)));
+        assertEquals(allowed(requested, 10_000, 1, 2), List.of(1L, 2L));
+    }
+
+    // Guards against a VM that was suspended, during which its monotonic clock stood still.
+    @Test
+    public void timeOfASuspensionCounts() {
+        RequestedWeights requested = RequestedWeights.of(1, SEEN_AT_ZERO).with(2, SEEN_AT_ZERO);
+        assertEquals(allowed(requested, new ClockReading(5_000, 12_000), 1, 2), List.of(2L));
+    }
+
+    private static RequestedWeights.RequestTime readAt(long millis, boolean isKnown) {
+        return new RequestedWeights.RequestTime(new ClockReading(millis, millis), isKnown);
+    }
+
     private static List<Long> allowed(RequestedWeights requested, long nowMillis, long... versions) {
+        return allowed(requested, new ClockReading(nowMillis, nowMillis), versions);
+    }
+
+    private static List<Long> allowed(RequestedWeights requested, ClockReading now, long... versions) {
         List<Candidate> candidates = java.util.Arrays.stream(versions)
                 .mapToObj(version -> FleetFixtures.candidate("e" + version, "z", version, UpstreamEstimate.IDLE))
                 .toList();
-        return StaleWeightsFilter.allowedCandidates(candidates, requested, nowMillis, ALLOWED_MILLIS).stream()
+        return StaleWeightsFilter.allowedCandidates(candidates, requested, now, ALLOWED_MILLIS).stream()
                 .map(Candidate::weightsVersion)
                 .toList();
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -69,16 +69,21 @@
         return snapshot;
     }
 
-    /** Applies the result of a read of the store. */
-    public void update(FleetView view, ClockReading verifiedAt, Map<String, Map<String, Long>> loadedWeights) {
+    /**
+     * Applies the result of a read of the store.
+     *
+     * @param rollout the record of the holder of the roll-out lease, as read
+     */
+    public void update(FleetView view, ClockReading verifiedAt, RolloutRecord rollout) {
         boolean hadRead = snapshot.configVerifiedAt().isPresent();
-        RequestedWeights.FirstRead firstRead = new RequestedWeights.FirstRead(verifiedAt.monotonicMillis(), hadRead);
+        RequestedWeights.RequestTime firstRead = new RequestedWeights.RequestTime(verifiedAt, hadRead);
         view.newestWeightsVersions()
                 .forEach((model, version) -> requestedWeights.merge(
                         model,
                         RequestedWeights.of(version, firstRead),
                         (known, read) -> known.with(version, firstRead)));
-        snapshot = new FleetSnapshot(view, Optional.of(verifiedAt), loadedWeights, requestedWeights);
+        requestedWeights.replaceAll((model, known) -> known.withReported(rollout.requestTimes(model, verifiedAt)));
+        snapshot = new FleetSnapshot(view, Optional.of(verifiedAt), rollout.loadedWeights(), requestedWeights);
         Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
         loads.keySet().retainAll(present);
         observedWeights.keySet().retainAll(present);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutLeadership.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutLeadership.java
@@ -8,9 +8,7 @@
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.node.util.Futures;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 
@@ -25,7 +23,6 @@
 public final class RolloutLeadership {
     private static final EventLog LOG = EventLog.of(RolloutLeadership.class);
     private static final long RENEW_MILLIS = 1_000;
-    private static final RolloutRecord EMPTY_RECORD = new RolloutRecord("", Set.of(), Map.of());
 
     private final ConditionalStore store;
     private final TimerService timers;
@@ -90,7 +87,7 @@
             return;
         }
         requestInFlight = true;
-        ClockReading requestedAt = now();
+        ClockReading requestedAt = timers.now();
         Futures.whenDone(store.grantLease(leaseMillis + RENEW_MILLIS), control, (leaseId, failure) -> {
             if (failure != null) {
                 requestInFlight = false;
@@ -104,7 +101,7 @@
     }
 
     private void acquireKey(long leaseId, ClockReading requestedAt) {
-        RolloutRecord record = new RolloutRecord(vmName, Set.of(), Map.of());
+        RolloutRecord record = RolloutRecord.NONE.withHolder(vmName);
         Futures.whenDone(
                 store.compareAndSet(RolloutRecord.KEY, 0, record.encode(), leaseId), control, (revision, failure) -> {
                     requestInFlight = false;
@@ -142,7 +139,7 @@
             return;
         }
         Term held = term.get();
-        ClockReading requestedAt = now();
+        ClockReading requestedAt = timers.now();
         Futures.whenDone(store.renewLease(held.leaseId), control, (leftMillis, failure) -> {
             if (term.isEmpty() || term.get() != held) {
                 return;
@@ -212,7 +209,7 @@
                     .with("reason", e.getMessage())
                     .with("action", "ignored")
                     .warning();
-            return EMPTY_RECORD;
+            return RolloutRecord.NONE;
         }
     }
 
@@ -240,8 +237,4 @@
         }
         term = Optional.empty();
     }
-
-    private ClockReading now() {
-        return new ClockReading(timers.monotonicMillis(), timers.epochMillis());
-    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -173,7 +173,7 @@
     private void readOnce(Consumer<Boolean> then) {
         reading = true;
         readStartedMillis = timers.monotonicMillis();
-        ClockReading verifiedAt = new ClockReading(readStartedMillis, timers.epochMillis());
+        ClockReading verifiedAt = timers.now();
         Futures.whenDone(source.read(), control, (read, failure) -> {
             reading = false;
             try {
@@ -215,7 +215,7 @@
         next = new FleetView(next.config(), next.upstreams(), next.newestWeightsVersions(), record.reserved());
         logChanges(view, next);
         view = next;
-        state.update(next, verifiedAt, record.loadedWeights());
+        state.update(next, verifiedAt, record);
         listeners.forEach(Runnable::run);
     }
 
@@ -258,7 +258,7 @@
                 .filter(item -> item.key().equals(RolloutRecord.KEY))
                 .findFirst();
         if (rollout.isEmpty()) {
-            return new RolloutRecord("", Set.of(), Map.of());
+            return RolloutRecord.NONE;
         }
         try {
             return RolloutRecord.decode(rollout.get().value());
@@ -267,7 +267,7 @@
                     .with("reason", e.getMessage())
                     .with("action", "ignored")
                     .warning();
-            return new RolloutRecord("", Set.of(), Map.of());
+            return RolloutRecord.NONE;
         }
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -177,7 +177,7 @@
     private RolloutRecord record() {
         Set<String> reserved = new HashSet<>();
         tasks.values().forEach(task -> reserved.add(task.upstream.id()));
-        return new RolloutRecord(vmName, reserved, loaded);
+        return new RolloutRecord(vmName, reserved, loaded, state.snapshot().knownRequestTimes());
     }
 
     private void markPublished(RolloutRecord published) {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -85,7 +85,7 @@
                 context.state().candidates(snapshot, service, prompt.map(Prompt::model), tried, nowMillis);
         Optional<Selected> selected;
         if (prompt.isPresent()) {
-            EngineCandidates engines = engines(snapshot, candidates, prompt.get(), engine.get(), nowMillis);
+            EngineCandidates engines = engines(snapshot, candidates, prompt.get(), engine.get());
             if (isFirst && (engines.isFull() || (!isNext && mustQueue(prompt.get(), engine.get())))) {
                 return Optional.empty();
             }
@@ -109,11 +109,11 @@
     }
 
     private EngineCandidates engines(
-            FleetSnapshot snapshot, List<Candidate> candidates, Prompt prompt, EngineProfile engine, long nowMillis) {
+            FleetSnapshot snapshot, List<Candidate> candidates, Prompt prompt, EngineProfile engine) {
         return EngineCandidates.of(
                 candidates,
                 snapshot.requestedWeights(prompt.model()),
-                nowMillis,
+                context.timers().now(),
                 context.settings().weightsMillis(),
                 prompt,
                 engine);
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -4,7 +4,9 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.node.api.WeightsOrder;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
@@ -126,6 +128,25 @@
         routers.forEach(router -> assertEquals(knownVersions(router, FakeFleet.MODEL), Set.of(2L)));
     }
 
+    // Guards against a restarted router that counts the time for which replaced weights may be used from its own start,
+    // and sends requests to an engine that returns with weights which were replaced before.
+    @Test
+    public void restartedRouterKnowsWhenWeightsWereReplaced() {
+        fleet.requestVersion(2);
+        control.advance(8_000);
+        fleet.requestVersion(3);
+        control.advance(5_000);
+        Router restarted = router(ROUTERS);
+        control.advance(1_000);
+        ClockReading now = restarted.control().now();
+        RequestedWeights requested =
+                restarted.state().snapshot().requestedWeights(FakeFleet.MODEL).orElseThrow();
+        RequestedWeights.RequestTime replaced = requested.replacementOf(1).orElseThrow();
+        assertTrue(replaced.isKnown());
+        long ageMillis = replaced.readAt().ageMillis(now.monotonicMillis(), now.epochMillis());
+        assertTrue(ageMillis > 13_000, "the age is " + ageMillis);
+    }
+
     // Guards against an observed version of one model that is taken for the version of another one.
     @Test
     public void observedVersionCountsForItsModelOnly() {
