Ignore entries with numbers or addresses out of range

Other operators reported processes that end or stop following the directory after an odd entry of another writer.

Cause: decoders checked the form of a field but not its range, and an attempt that the HTTP client did not accept threw instead of failing.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RouterRegistry.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RouterRegistry.java
@@ -6,6 +6,7 @@
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.node.util.Futures;
+import io.agatelane.node.util.SocketAddresses;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -81,17 +82,18 @@
     }
 
     private static Optional<RouterEntry> parse(KeyValue item) {
-        String[] parts = new String(item.value(), StandardCharsets.UTF_8).split(SEPARATOR, -1);
-        try {
-            InetSocketAddress address = new InetSocketAddress(parts[0], Integer.parseInt(parts[1]));
-            return Optional.of(new RouterEntry(item.key().substring(PREFIX.length()), parts[2], address));
-        } catch (IllegalArgumentException | ArrayIndexOutOfBoundsException e) {
+        String text = new String(item.value(), StandardCharsets.UTF_8);
+        int end = text.lastIndexOf(SEPARATOR);
+        Optional<RouterEntry> entry = SocketAddresses.parse(text.substring(0, Math.max(0, end)))
+                .map(address -> new RouterEntry(
+                        item.key().substring(PREFIX.length()), text.substring(end + SEPARATOR.length()), address));
+        if (entry.isEmpty()) {
             LOG.event("router_entry_unreadable")
                     .with("key", item.key())
                     .with("action", "ignored")
                     .info();
-            return Optional.empty();
         }
+        return entry;
     }
 
     private void register() {
@@ -102,12 +104,7 @@
                 .findFirst()
                 .orElse(0);
         InetSocketAddress address = self.address();
-        byte[] value = String.join(
-                        SEPARATOR,
-                        address.getAddress().getHostAddress(),
-                        Integer.toString(address.getPort()),
-                        self.zone())
-                .getBytes(StandardCharsets.UTF_8);
+        byte[] value = (SocketAddresses.format(address) + SEPARATOR + self.zone()).getBytes(StandardCharsets.UTF_8);
         var registration = store.grantLease(LEASE_MILLIS)
                 .thenCompose(
                         lease -> store.compareAndSet(key, known, value, lease).thenApply(revision -> lease));
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -67,8 +67,18 @@
         FleetUpstream upstream = choice.candidate().upstream();
         startedMillis = context.timers().monotonicMillis();
         load.recordSent(this, work, startedMillis);
+        try {
+            send(upstream.address(), method, pathQuery, headers, body, hasBody);
+        } catch (RuntimeException e) {
+            // The client does not accept the request, for example because of its address.
+            end(e);
+        }
+    }
+
+    private void send(
+            String address, String method, String pathQuery, HttpFields headers, byte[] body, boolean hasBody) {
         request = context.client()
-                .newRequest("http://" + upstream.address())
+                .newRequest("http://" + address)
                 .method(method)
                 .path(pathQuery)
                 .headers(fields -> {
@@ -84,7 +94,9 @@
 
     /** Aborts the attempt; the upstream sees its connection close. */
     void abort(Throwable cause) {
-        request.abort(cause);
+        if (request != null) {
+            request.abort(cause);
+        }
     }
 
     FleetUpstream upstream() {
@@ -141,14 +153,24 @@
 
     @Override
     public void onComplete(Result result) {
-        if (!ended.compareAndSet(false, true)) {
-            return;
-        }
-        load.recordEnded(this, work);
         if (result.isFailed()) {
-            listener.onFailure(this, result.getFailure());
-        } else {
+            end(result.getFailure());
+        } else if (recordEnd()) {
             listener.onComplete(this);
         }
     }
+
+    private void end(Throwable failure) {
+        if (recordEnd()) {
+            listener.onFailure(this, failure);
+        }
+    }
+
+    private boolean recordEnd() {
+        boolean isFirst = ended.compareAndSet(false, true);
+        if (isFirst) {
+            load.recordEnded(this, work);
+        }
+        return isFirst;
+    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/gossip/GossipMembership.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/gossip/GossipMembership.java
@@ -22,6 +22,7 @@
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.cfg.Settings;
 import io.agatelane.node.util.EventLog;
+import io.agatelane.node.util.SocketAddresses;
 import io.agatelane.wire.peer.AccountUsage;
 import io.agatelane.wire.peer.Quarantine;
 import io.agatelane.wire.peer.UpstreamDigest;
--- a/agatelane-node/src/main/java/io/agatelane/node/io/peer/NettyPeerTransport.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/peer/NettyPeerTransport.java
@@ -5,6 +5,7 @@
 import io.agatelane.node.api.NodeContext;
 import io.agatelane.node.api.PeerTransport;
 import io.agatelane.node.api.Subscription;
+import io.agatelane.node.util.SocketAddresses;
 import io.agatelane.wire.peer.PeerFrame;
 import io.agatelane.wire.peer.PeerHello;
 import io.netty.bootstrap.Bootstrap;
@@ -119,7 +120,7 @@
             return requestToSelf(frame, timeoutMillis);
         }
         Optional<InetSocketAddress> address =
-                membership.get().member(vmName).map(Member::peerAddress).flatMap(NettyPeerTransport::parse);
+                membership.get().member(vmName).map(Member::peerAddress).flatMap(SocketAddresses::parse);
         if (address.isEmpty()) {
             return CompletableFuture.failedFuture(PeerErrors.unreachable(vmName, "no valid address of " + vmName));
         }
@@ -186,17 +187,4 @@
         peers.values().forEach(peer -> peer.checkConnection(nowMillis));
         inbound.forEach(connection -> connection.closeIfUnresponsive(nowMillis, RECEIVE_TIMEOUT_MILLIS));
     }
-
-    private static Optional<InetSocketAddress> parse(String address) {
-        int colon = address.lastIndexOf(':');
-        if (colon <= 0) {
-            return Optional.empty();
-        }
-        try {
-            int port = Integer.parseInt(address.substring(colon + 1));
-            return Optional.of(new InetSocketAddress(address.substring(0, colon), port));
-        } catch (IllegalArgumentException e) {
-            return Optional.empty();
-        }
-    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/gossip/SocketAddresses.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/util/SocketAddresses.java
@@ -1,4 +1,4 @@
-package io.agatelane.node.io.gossip;
+package io.agatelane.node.util;
 
 import io.netty.util.NetUtil;
 import java.net.InetAddress;
@@ -7,12 +7,13 @@
 import java.util.Optional;
 
 /** Formats and parses socket addresses as {@code IP:PORT}, with IPv6 addresses in brackets. */
-final class SocketAddresses {
+public final class SocketAddresses {
     private static final int MAX_PORT = 65_535;
 
     private SocketAddresses() {}
 
-    static String format(InetSocketAddress address) {
+    /** Formats an address; the text is the same for all texts that {@link #parse} reads as this address. */
+    public static String format(InetSocketAddress address) {
         String host = address.isUnresolved()
                 ? address.getHostString()
                 : address.getAddress().getHostAddress();
@@ -20,7 +21,7 @@
     }
 
     /** Parses an address; empty when malformed. Host names are not resolved, as that could block. */
-    static Optional<InetSocketAddress> parse(String text) {
+    public static Optional<InetSocketAddress> parse(String text) {
         int colon = text.lastIndexOf(':');
         if (colon <= 0) {
             return Optional.empty();
--- a/agatelane-node/src/test/java/io/agatelane/node/io/gossip/GossipCodecTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/gossip/GossipCodecTest.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.membership.MemberRecord;
 import io.agatelane.core.membership.MemberStatus;
 import io.agatelane.core.membership.SwimMessage;
+import io.agatelane.node.util.SocketAddresses;
 import io.agatelane.wire.peer.AccountUsage;
 import io.agatelane.wire.peer.GossipPacket;
 import io.agatelane.wire.peer.Quarantine;
