Believe a refusal only of the request that it names

Other operators reported callers that were told "not run" for requests that had run, or ran at a second worker, after a faulty worker had sent an earlier refusal once more. It could happen here: the fleet router took Not-Executed and 421 for a refusal before it looked at the response's request id, and the own interface checked the id of a 200 only, on pooled connections to engines.

Both check the id first now. For a request that may run once, such a response leaves the outcome unknown (502); the own interface asks the engine again for the stream. Ruled out: calls of plain services that run at most once and orders, which use a connection each.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -295,7 +295,8 @@
         UpstreamLoad load = context.state().load(attempt.upstream());
         long now = context.timers().monotonicMillis();
         Optional<String> unusable = unusable(newStatus, upstreamResponse);
-        if (upstreamResponse.notExecuted()) {
+        // A refusal of another request says nothing about this one, which the upstream may be running.
+        if (upstreamResponse.notExecuted() && !belongsToOther(upstreamResponse)) {
             recordRefusal(attempt, upstreamResponse);
             attempts++;
             retryOrFail(attempt, "not_run", "status " + newStatus);
@@ -375,12 +376,15 @@
         }
     }
 
-    private Optional<String> unusable(int newStatus, UpstreamResponse upstreamResponse) {
-        boolean otherRequest = upstreamResponse
+    private boolean belongsToOther(UpstreamResponse upstreamResponse) {
+        return upstreamResponse
                 .requestId()
                 .filter(id -> !id.equals(caller.id()))
                 .isPresent();
-        if (otherRequest) {
+    }
+
+    private Optional<String> unusable(int newStatus, UpstreamResponse upstreamResponse) {
+        if (belongsToOther(upstreamResponse)) {
             return Optional.of("the response belongs to request "
                     + upstreamResponse.requestId().get());
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/ChatCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/ChatCall.java
@@ -175,17 +175,33 @@
             attempt.setProbing(false);
             return;
         }
-        traffic.metrics().mismatchedResponses.inc();
-        log.mismatch(attempt, headers.get("X-Request-Id"));
+        if (check == EngineChunk.HeaderCheck.OTHER_REQUEST) {
+            onOtherResponse(attempt, headers);
+            return;
+        }
+        recordMismatch(attempt, headers);
         if (attempt == hedge) {
             dropHedge();
-        } else if (check == EngineChunk.HeaderCheck.OTHER_REQUEST) {
-            probe("the response belongs to another request");
         } else {
             failOver("the response comes from another incarnation or other weights", false);
         }
     }
 
+    // The engine may be running the request, so it is asked again for the stream of this request.
+    private void onOtherResponse(EngineAttempt attempt, HttpFields headers) {
+        recordMismatch(attempt, headers);
+        if (attempt == hedge) {
+            dropHedge();
+        } else {
+            probe("the response belongs to another request");
+        }
+    }
+
+    private void recordMismatch(EngineAttempt attempt, HttpFields headers) {
+        traffic.metrics().mismatchedResponses.inc();
+        log.mismatch(attempt, headers.get("X-Request-Id"));
+    }
+
     @Override
     public synchronized void onEvent(EngineStream stream, SseParser.Event event) {
         EngineAttempt attempt = attemptOf(stream);
@@ -225,11 +241,15 @@
     }
 
     @Override
-    public synchronized void onRefused(EngineStream stream, int status, String body) {
+    public synchronized void onRefused(EngineStream stream, int status, HttpFields headers, String body) {
         EngineAttempt attempt = attemptOf(stream);
         if (attempt == null) {
             return;
         }
+        if (EngineChunk.belongsToOther(headers, attempt)) {
+            onOtherResponse(attempt, headers);
+            return;
+        }
         String type = EngineChunk.errorType(body);
         log.refused(attempt, status, type);
         boolean notExecuted = EngineChunk.isRefusedBeforeExecution(status, type);
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineCacheEvents.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineCacheEvents.java
@@ -135,7 +135,7 @@
         }
 
         @Override
-        public synchronized void onRefused(EngineStream source, int status, String body) {
+        public synchronized void onRefused(EngineStream source, int status, HttpFields headers, String body) {
             stream = null;
             nextAttemptMillis = traffic.nowMillis() + UNSUPPORTED_RETRY_MILLIS;
             LOG.event("engine_events_refused")
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineChunk.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineChunk.java
@@ -38,6 +38,11 @@
         return sameEngine ? HeaderCheck.EXPECTED : HeaderCheck.OTHER_ENGINE;
     }
 
+    /** Whether the head of a response names another request than the one that it is read for. */
+    static boolean belongsToOther(HttpFields headers, EngineAttempt attempt) {
+        return !matches(headers.get("X-Request-Id"), attempt.engineRequestId());
+    }
+
     /** Returns the chunk in an event; null when it is not a JSON object. */
     static ObjectNode parse(String data) {
         try {
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
@@ -38,7 +38,7 @@
         void whenReady(EngineStream stream, Runnable demand);
 
         /** Called when the engine responded with another status than 200. */
-        void onRefused(EngineStream stream, int status, String body);
+        void onRefused(EngineStream stream, int status, HttpFields headers, String body);
 
         /** Called when the response ended; the failure is null when it ended normally. */
         void onEnd(EngineStream stream, Throwable failure);
@@ -121,7 +121,8 @@
         }
         Response response = result.getResponse();
         if (!result.isFailed() && response.getStatus() != OK) {
-            listener.onRefused(this, response.getStatus(), errorBody.toString(StandardCharsets.UTF_8));
+            listener.onRefused(
+                    this, response.getStatus(), response.getHeaders(), errorBody.toString(StandardCharsets.UTF_8));
             return;
         }
         listener.onEnd(this, result.getFailure());
--- a/agatelane-node/src/test/java/io/agatelane/node/io/engine/FakeEngine.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/engine/FakeEngine.java
@@ -62,6 +62,7 @@
     volatile int holdAt = NEVER;
 
     volatile CountDownLatch holdLatch = new CountDownLatch(1);
+    volatile boolean repeatRefusalOnce;
     volatile boolean wrongRequestIdOnce;
     volatile boolean relativeNumbering;
     /** Tokens are parts of a tool call's arguments. */
@@ -184,6 +185,12 @@
             }
             String id = request.getHeaders().get("X-Request-Id");
             storedStreams.put(id, from);
+            if (repeatRefusalOnce) {
+                repeatRefusalOnce = false;
+                response.getHeaders().put("X-Request-Id", "earlier");
+                error(response, callback, 503, "overloaded");
+                return;
+            }
             stream(response, callback, id, from, from);
         }
     }
--- a/agatelane-node/src/test/java/io/agatelane/node/io/engine/StreamFailureTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/engine/StreamFailureTest.java
@@ -147,6 +147,17 @@
         assertEquals(router.counter("engine_mismatched_responses_total"), 1);
     }
 
+    // Guards against a refusal of an earlier request on a kept connection that is taken for the answer to a request
+    // which
+    // the engine runs: another engine runs it as well.
+    @Test
+    public void refusalOfAnotherRequestIsNoReasonToReroute() throws Exception {
+        engines.forEach(engine -> engine.repeatRefusalOnce = true);
+        assertFullStream(router.post(EngineTestRouter.body(true, "hello")));
+        assertEquals(router.counter("engine_mismatched_responses_total"), 1);
+        assertEquals(attempts(), 1);
+    }
+
     // Guards against work that relies on an engine's previous incarnation or on older weights (I1): the engine refuses
     // before it runs anything, and the router uses another engine.
     @Test
