Show each caller that a response has broken off

Other operators reported streams with an error's text in their middle, or that ended as if they were complete, after the first upstream had broken off.

Causes: any success was accepted as a continuation, and the server sends a response without length in chunks only while the caller keeps its connection. The rest of a stream now has status 200 and the type of its beginning. CallerResponse sends responses without length in chunks to every HTTP/1.1 caller and resets the connection of an HTTP/1.0 caller. An exception in the code that reads a head, which the HTTP client only logs, fails the attempt. Ruled out: heads in the stream, since each attempt has its connection.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -35,8 +35,10 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.MimeTypes;
 import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -294,7 +296,7 @@
         }
         UpstreamLoad load = context.state().load(attempt.upstream());
         long now = context.timers().monotonicMillis();
-        Optional<String> unusable = unusable(newStatus, upstreamResponse);
+        Optional<String> unusable = unusable(newStatus, headers, upstreamResponse);
         // A refusal of another request says nothing about this one, which the upstream may be running.
         if (upstreamResponse.notExecuted() && !belongsToOther(upstreamResponse)) {
             recordRefusal(attempt, upstreamResponse);
@@ -383,7 +385,7 @@
                 .isPresent();
     }
 
-    private Optional<String> unusable(int newStatus, UpstreamResponse upstreamResponse) {
+    private Optional<String> unusable(int newStatus, HttpFields headers, UpstreamResponse upstreamResponse) {
         if (belongsToOther(upstreamResponse)) {
             return Optional.of("the response belongs to request "
                     + upstreamResponse.requestId().get());
@@ -394,12 +396,24 @@
         if (upstreamResponse.contentEncoded()) {
             return Optional.of("the response body was transformed on the way");
         }
-        if (committed && !HttpStatus.isSuccess(newStatus)) {
+        if (committed && newStatus != HttpStatus.OK_200) {
             return Optional.of("status " + newStatus + " instead of the rest of the response");
         }
+        if (committed && !isSameType(headers, upstreamHeaders)) {
+            return Optional.of("another content type instead of the rest of the response");
+        }
         return Optional.empty();
     }
 
+    private static boolean isSameType(HttpFields headers, HttpFields firstHeaders) {
+        return contentType(headers).equalsIgnoreCase(contentType(firstHeaders));
+    }
+
+    private static String contentType(HttpFields headers) {
+        String value = headers.get(HttpHeader.CONTENT_TYPE);
+        return value == null ? "" : MimeTypes.getContentTypeWithoutCharset(value);
+    }
+
     private boolean mayRetry(int attemptsSoFar, long now) {
         return attemptsSoFar < route.maxUpstreams()
                 && (!mayHaveRun || route.mayRunAgain())
@@ -439,6 +453,7 @@
         response.setStatus(status);
         context.ports().upstreamProtocol().copyResponseHeaders(upstreamHeaders, response.getHeaders());
         RouterResponses.closeWhenDraining(context, response);
+        CallerResponse.frame(request, response);
     }
 
     @Override
@@ -556,8 +571,7 @@
         finish(wasCommitted ? "cut" : failure.type().code().replace('-', '_'));
         abortCurrent();
         if (wasCommitted) {
-            // The response must not look complete, so its connection is closed in the middle of it.
-            callback.failed(new QuietException.Exception(failure.getMessage(), failure));
+            CallerResponse.breakOff(request, response, callback, failure);
         } else {
             RouterResponses.writeFailure(context, response, callback, failure, caller.id());
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -128,6 +128,15 @@
 
     @Override
     public void onHeaders(Response response) {
+        try {
+            readHead(response);
+        } catch (RuntimeException e) {
+            // The client only logs an exception of a listener and would go on with the response.
+            response.abort(e);
+        }
+    }
+
+    private void readHead(Response response) {
         responseStarted = true;
         load.recordResponseStarted(this, work);
         UpstreamResponse upstreamResponse =
