Follow upstreams that announce their end or ask for a pause

The router looked at neither; a refusing upstream was avoided only for as long as its recent failures counted, and only beside another one.

UpstreamNotices keeps both by start of an upstream. One that leaves gets no request where another one stays, and none at all a second after its first notice; that is remembered while its entry is missing. One that pauses gets no request and no order until the longest pause asked for has ended, 5 minutes at the most; a value that is no time is ignored and logged. When each upstream of a service pauses, callers are refused at once with the time until the first one is free. Notices of another upstream at the same address do not count. One log line and one counter for each change.

Not done: other routers are not told, the own interface has no such headers.

--- a/agatelane-node/src/main/java/io/agatelane/node/api/UpstreamResponse.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/UpstreamResponse.java
@@ -15,6 +15,8 @@
  * @param contentEncoded whether the body has a content encoding, that is, was transformed on the way
  * @param load empty when the upstream does not report its load
  * @param weightsVersion version of the weights that produced the response
+ * @param leaving whether the upstream states that it leaves and wants no new requests
+ * @param pauseMillis time for which the upstream wants no requests from this router
  */
 public record UpstreamResponse(
         Optional<String> requestId,
@@ -24,4 +26,6 @@
         boolean signed,
         boolean contentEncoded,
         Optional<ReportedLoad> load,
-        OptionalLong weightsVersion) {}
+        OptionalLong weightsVersion,
+        boolean leaving,
+        OptionalLong pauseMillis) {}
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -12,6 +12,7 @@
 import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.PeerLoads;
 import io.agatelane.core.fleet.command.UpstreamLoad;
+import io.agatelane.core.fleet.command.UpstreamNotices;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.hash.Rendezvous;
 import java.util.List;
@@ -36,6 +37,7 @@
     private final PlacementIndex placements = new PlacementIndex();
     private final CrashSuspects suspects;
     private final PartSuspects partSuspects = new PartSuspects();
+    private final UpstreamNotices notices = new UpstreamNotices();
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Long>> observedWeights = new ConcurrentHashMap<>();
     private final Map<String, RequestedWeights> requestedWeights = new ConcurrentHashMap<>();
@@ -65,6 +67,11 @@
         return partSuspects;
     }
 
+    /** What upstreams have said about the requests that they want. */
+    public UpstreamNotices notices() {
+        return notices;
+    }
+
     public FleetSnapshot snapshot() {
         return snapshot;
     }
@@ -88,6 +95,7 @@
         loads.keySet().retainAll(present);
         observedWeights.keySet().retainAll(present);
         replaced.retainAll(present);
+        notices.forgetOld(present, verifiedAt.monotonicMillis());
         long untilMillis = verifiedAt.monotonicMillis() + RESERVATION_MILLIS;
         view.upstreams().stream()
                 .filter(upstream -> view.reservedUpstreamIds().contains(upstream.id()))
@@ -221,7 +229,9 @@
             Set<String> excluded,
             long nowMillis) {
         List<Candidate> all = requestSnapshot.usable(service).stream()
-                .filter(upstream -> !excluded.contains(upstream.key()) && !replaced.contains(upstream.key()))
+                .filter(upstream -> !excluded.contains(upstream.key())
+                        && !replaced.contains(upstream.key())
+                        && notices.pauseMillis(upstream.key(), nowMillis) == 0)
                 .map(upstream -> new Candidate(
                         upstream,
                         estimate(upstream, nowMillis),
@@ -229,9 +239,32 @@
                                 .orElse(0L)))
                 .filter(candidate -> model.isEmpty() || candidate.weightsVersion() > 0)
                 .toList();
-        List<Candidate> notReserved = all.stream()
+        List<Candidate> staying = all.stream()
+                .filter(candidate -> !notices.isLeaving(candidate.upstream().key()))
+                .toList();
+        if (staying.isEmpty()) {
+            return all.stream()
+                    .filter(candidate ->
+                            notices.isUsableAsLast(candidate.upstream().key(), nowMillis))
+                    .toList();
+        }
+        List<Candidate> notReserved = staying.stream()
                 .filter(candidate -> !isReserved(candidate.upstream(), nowMillis))
                 .toList();
-        return notReserved.isEmpty() ? all : notReserved;
+        return notReserved.isEmpty() ? staying : notReserved;
+    }
+
+    /** Whether an upstream takes orders and requests at this moment, as far as it has said. */
+    boolean isAvailable(FleetUpstream upstream, long nowMillis) {
+        return !notices.isLeaving(upstream.key()) && notices.pauseMillis(upstream.key(), nowMillis) == 0;
+    }
+
+    /** Returns the time until the first upstream of a service takes requests; 0 when one takes them or none stays. */
+    public long pauseMillis(FleetSnapshot requestSnapshot, String service, long nowMillis) {
+        return requestSnapshot.usable(service).stream()
+                .filter(upstream -> !notices.isLeaving(upstream.key()))
+                .mapToLong(upstream -> notices.pauseMillis(upstream.key(), nowMillis))
+                .min()
+                .orElse(0);
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -206,7 +206,7 @@
         long now = timers.monotonicMillis();
         silentUntilMillis.values().removeIf(until -> until <= now);
         List<FleetUpstream> responsive = known.stream()
-                .filter(upstream -> !silentUntilMillis.containsKey(upstream.key()))
+                .filter(upstream -> !silentUntilMillis.containsKey(upstream.key()) && state.isAvailable(upstream, now))
                 .toList();
         RolloutSelector.selectNext(
                         responsive,
@@ -263,7 +263,8 @@
     private void advance(LoadTask task) {
         long now = timers.monotonicMillis();
         boolean announced = task.publishedMillis >= 0 && now - task.publishedMillis >= announceMillis.getAsLong();
-        if (!announced || task.requestInFlight || now < task.nextRequestAtMillis) {
+        boolean mayAsk = !task.requestInFlight && now >= task.nextRequestAtMillis;
+        if (!announced || !mayAsk || !state.isAvailable(task.upstream, now)) {
             return;
         }
         task.mayLoad = true;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -542,9 +542,10 @@
         dispatch();
     }
 
-    private static AgatelaneException refusal(String detail) {
-        return new AgatelaneException(FailureType.OVERLOADED, detail)
-                .withRetryAfterMillis(UpstreamSelection.BUSY_RETRY_MILLIS);
+    private AgatelaneException refusal(String detail) {
+        long retryMillis = selection.retryAfterMillis(
+                context.state().snapshot(), context.timers().monotonicMillis());
+        return new AgatelaneException(FailureType.OVERLOADED, detail).withRetryAfterMillis(retryMillis);
     }
 
     private synchronized void onDeadline() {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -5,6 +5,7 @@
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.PromptPart;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.command.UpstreamNotices;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.node.api.CallerRequest;
@@ -69,6 +70,25 @@
         context.metrics().counter("requests_waiting_total").inc();
     }
 
+    /** Logs that an upstream has announced that it leaves. */
+    static void upstreamLeaving(ForwardContext context, String upstream, int status) {
+        LOG.event("upstream_leaving")
+                .with("upstream", upstream)
+                .with("status", status)
+                .info();
+        context.metrics().counter("upstreams_leaving_total").inc();
+    }
+
+    /** Logs that an upstream wants no requests for some time. */
+    static void upstreamPaused(ForwardContext context, String upstream, long pauseMillis) {
+        LOG.event("upstream_paused")
+                .with("upstream", upstream)
+                .with("pause_ms", pauseMillis)
+                .with("applied_ms", Math.min(pauseMillis, UpstreamNotices.MAX_PAUSE_MILLIS))
+                .info();
+        context.metrics().counter("upstream_pauses_total").inc();
+    }
+
     /** Logs the end of one attempt. */
     static void attemptEnded(String id, int attempt, String upstream, String outcome, String detail) {
         LOG.event("send_ended")
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -3,6 +3,7 @@
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.command.UpstreamLoad;
+import io.agatelane.core.fleet.command.UpstreamNotices;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.node.api.UpstreamResponse;
 import io.agatelane.node.io.http.ReadCredit;
@@ -146,11 +147,28 @@
                 .load()
                 .ifPresent(report ->
                         load.recordReport(report.running(), report.waiting(), report.durationPercent(), nowMillis));
+        recordNotices(response.getStatus(), upstreamResponse, nowMillis);
         if (!listener.onHead(this, response.getStatus(), response.getHeaders(), upstreamResponse)) {
             response.abort(new ConnectException("the response is not used"));
         }
     }
 
+    // Another upstream at the same address speaks for itself only.
+    private void recordNotices(int status, UpstreamResponse response, long nowMillis) {
+        if (response.upstreamId().filter(id -> !id.equals(upstream().id())).isPresent()) {
+            return;
+        }
+        UpstreamNotices notices = context.state().notices();
+        if (response.leaving() && notices.recordLeaving(upstream().key(), nowMillis)) {
+            ForwardLog.upstreamLeaving(context, upstream().key(), status);
+        }
+        response.pauseMillis().ifPresent(millis -> {
+            if (notices.recordPause(upstream().key(), millis, nowMillis)) {
+                ForwardLog.upstreamPaused(context, upstream().key(), millis);
+            }
+        });
+    }
+
     @Override
     public void onContent(Response response, Content.Chunk chunk, Runnable demander) {
         ByteBuffer buffer = chunk.getByteBuffer();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -98,7 +98,7 @@
         }
         if (selected.isEmpty()) {
             throw new AgatelaneException(FailureType.NO_UPSTREAM, "no upstream of " + service + " accepts work")
-                    .withRetryAfterMillis(BUSY_RETRY_MILLIS);
+                    .withRetryAfterMillis(retryAfterMillis(snapshot, nowMillis));
         }
         UpstreamChoice choice = selected.get().choice();
         if (isFirst && prompt.isPresent()) {
@@ -108,6 +108,14 @@
         return selected;
     }
 
+    /**
+     * Returns when a caller may come back that an upstream has refused. Where each upstream wants no requests for some
+     * time, coming back earlier is of no use.
+     */
+    long retryAfterMillis(FleetSnapshot snapshot, long nowMillis) {
+        return Math.max(BUSY_RETRY_MILLIS, context.state().pauseMillis(snapshot, service, nowMillis));
+    }
+
     private EngineCandidates engines(
             FleetSnapshot snapshot, List<Candidate> candidates, Prompt prompt, EngineProfile engine) {
         return EngineCandidates.of(
