Forward paths that begin with two slashes unchanged

Cause: the HTTP client reads the argument of Request.path as a reference, in which a host follows two slashes. Such a path now goes to the client within the whole URI. The other forms that the standard allows, and those that it does not, arrived unchanged before as well.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -8,6 +8,8 @@
 import io.agatelane.node.api.UpstreamResponse;
 import io.agatelane.node.io.http.ReadCredit;
 import java.net.ConnectException;
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.BytesRequestContent;
@@ -78,10 +80,8 @@
 
     private void send(
             String address, String method, String pathQuery, HttpFields headers, byte[] body, boolean hasBody) {
-        request = context.client()
-                .newRequest("http://" + address)
+        request = requestTo(address, pathQuery)
                 .method(method)
-                .path(pathQuery)
                 .headers(fields -> {
                     fields.clear();
                     fields.add(headers);
@@ -93,6 +93,20 @@
         request.send(this);
     }
 
+    // The client's method for a path takes what follows two slashes at its start for a host.
+    private Request requestTo(String address, String pathQuery) {
+        String base = "http://" + address;
+        if (pathQuery.startsWith("//")) {
+            try {
+                return context.client().newRequest(new URI(base + pathQuery));
+            } catch (URISyntaxException e) {
+                // A path with characters that a URI does not allow, which the method for a path leaves as it is.
+                return context.client().newRequest(base).path(pathQuery);
+            }
+        }
+        return context.client().newRequest(base).path(pathQuery);
+    }
+
     /** Aborts the attempt; the upstream sees its connection close. */
     void abort(Throwable cause) {
         if (request != null) {
