Notice callers that left before their request was read

Cause, by reading and now by a test: the monitor of the caller's connection only registered its interest, so a close that lay behind the request was read by another thread, after the first attempt had been sent.

The monitor reads once when it starts, before the request is forwarded. CallerDisconnectMonitorTest.closeThatHasArrivedIsReportedAtOnce fails when start() registers only, as before (1 of 2 passed), passes now; the other tests of callers pass.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/CallerDisconnectMonitor.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/CallerDisconnectMonitor.java
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
-import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 
@@ -26,18 +25,25 @@
     private boolean stopped;
     private boolean gone;
 
-    private CallerDisconnectMonitor(Connection connection, Runnable onGone) {
+    /**
+     * Creates a monitor.
+     *
+     * @param connection connection of the caller
+     * @param onGone called once when the caller has closed its connection
+     */
+    CallerDisconnectMonitor(Connection connection, Runnable onGone) {
         this.connection = connection;
         this.endPoint = connection.getEndPoint();
         this.onGone = onGone;
     }
 
-    /** Starts monitoring. The body of the request must have been read to its end. */
-    static CallerDisconnectMonitor start(Request request, Runnable onGone) {
-        CallerDisconnectMonitor monitor =
-                new CallerDisconnectMonitor(request.getConnectionMetaData().getConnection(), onGone);
-        monitor.register();
-        return monitor;
+    /**
+     * Starts monitoring. The body of the request must have been read to its end. Reads at once, so that a close which
+     * has already arrived is reported before the request is forwarded: a router that was started again reads requests
+     * whose callers have left meanwhile.
+     */
+    void start() {
+        checkForClose();
     }
 
     /** Stops monitoring; must be called before the response is complete, because the connection reads itself then. */
@@ -64,6 +70,10 @@
 
     @Override
     public void succeeded() {
+        checkForClose();
+    }
+
+    private void checkForClose() {
         if (read() < 0) {
             reportGone();
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -137,9 +137,13 @@
     synchronized void start() {
         long now = context.timers().monotonicMillis();
         context.budget(service).recordRequest(now);
-        disconnectMonitor = CallerDisconnectMonitor.start(request, this::onCallerGone);
+        disconnectMonitor =
+                new CallerDisconnectMonitor(request.getConnectionMetaData().getConnection(), this::onCallerGone);
         deadlineTimer = context.timers().after(Math.max(0, deadlineMillis - now), this::onDeadline);
-        dispatch();
+        disconnectMonitor.start();
+        if (!done) {
+            dispatch();
+        }
     }
 
     private void dispatch() {
