Split the check of response heads from ForwardCall

What makes a head unusable is ResponseCheck now; ChatCall handles both kinds of foreign responses in one place and leaves cancelling to TrafficContext.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -35,10 +35,8 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.http.MimeTypes;
 import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -300,9 +298,10 @@
         }
         UpstreamLoad load = context.state().load(attempt.upstream());
         long now = context.timers().monotonicMillis();
-        Optional<String> unusable = unusable(newStatus, headers, upstreamResponse);
+        ResponseCheck check = new ResponseCheck(caller.id(), newStatus, headers, upstreamResponse);
+        Optional<String> unusable = check.unusable(committed ? Optional.of(upstreamHeaders) : Optional.empty());
         // A refusal of another request says nothing about this one, which the upstream may be running.
-        if (upstreamResponse.notExecuted() && !belongsToOther(upstreamResponse)) {
+        if (upstreamResponse.notExecuted() && !check.isOfOtherRequest()) {
             recordRefusal(attempt, upstreamResponse);
             attempts++;
             retryOrFail(attempt, "not_run", "status " + newStatus);
@@ -382,42 +381,6 @@
         }
     }
 
-    private boolean belongsToOther(UpstreamResponse upstreamResponse) {
-        return upstreamResponse
-                .requestId()
-                .filter(id -> !id.equals(caller.id()))
-                .isPresent();
-    }
-
-    private Optional<String> unusable(int newStatus, HttpFields headers, UpstreamResponse upstreamResponse) {
-        if (belongsToOther(upstreamResponse)) {
-            return Optional.of("the response belongs to request "
-                    + upstreamResponse.requestId().get());
-        }
-        if (!upstreamResponse.signed()) {
-            return Optional.of("the response is not signed, status " + newStatus);
-        }
-        if (upstreamResponse.contentEncoded()) {
-            return Optional.of("the response body was transformed on the way");
-        }
-        if (committed && newStatus != HttpStatus.OK_200) {
-            return Optional.of("status " + newStatus + " instead of the rest of the response");
-        }
-        if (committed && !isSameType(headers, upstreamHeaders)) {
-            return Optional.of("another content type instead of the rest of the response");
-        }
-        return Optional.empty();
-    }
-
-    private static boolean isSameType(HttpFields headers, HttpFields firstHeaders) {
-        return contentType(headers).equalsIgnoreCase(contentType(firstHeaders));
-    }
-
-    private static String contentType(HttpFields headers) {
-        String value = headers.get(HttpHeader.CONTENT_TYPE);
-        return value == null ? "" : MimeTypes.getContentTypeWithoutCharset(value);
-    }
-
     private boolean mayRetry(int attemptsSoFar, long now) {
         return attemptsSoFar < route.maxUpstreams()
                 && (!mayHaveRun || route.mayRunAgain())
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/ChatCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/ChatCall.java
@@ -115,10 +115,10 @@
             return;
         }
         if (position.isAtStart()) {
-            cancelAtEngine(current);
+            traffic.cancelAtEngine(current);
             return;
         }
-        traffic.schedule(RESUME_GRACE_MILLIS, () -> cancelUnlessResumed(current));
+        traffic.schedule(RESUME_GRACE_MILLIS, () -> traffic.cancelUnlessResumed(current));
     }
 
     /** Ends the call because the same request in another call crashed a second engine. */
@@ -127,7 +127,7 @@
             EngineAttempt current = primary;
             endWith(Admission.quarantined());
             if (current != null) {
-                cancelAtEngine(current);
+                traffic.cancelAtEngine(current);
             }
         }
     }
@@ -175,33 +175,22 @@
             attempt.setProbing(false);
             return;
         }
-        if (check == EngineChunk.HeaderCheck.OTHER_REQUEST) {
-            onOtherResponse(attempt, headers);
-            return;
-        }
-        recordMismatch(attempt, headers);
-        if (attempt == hedge) {
-            dropHedge();
-        } else {
-            failOver("the response comes from another incarnation or other weights", false);
-        }
+        handleMismatch(attempt, headers, check);
     }
 
-    // The engine may be running the request, so it is asked again for the stream of this request.
-    private void onOtherResponse(EngineAttempt attempt, HttpFields headers) {
-        recordMismatch(attempt, headers);
+    private void handleMismatch(EngineAttempt attempt, HttpFields headers, EngineChunk.HeaderCheck check) {
+        traffic.metrics().mismatchedResponses.inc();
+        log.mismatch(attempt, headers.get("X-Request-Id"));
         if (attempt == hedge) {
             dropHedge();
-        } else {
+        } else if (check == EngineChunk.HeaderCheck.OTHER_REQUEST) {
+            // The engine may be running this request.
             probe("the response belongs to another request");
+        } else {
+            failOver("the response comes from another incarnation or other weights", false);
         }
     }
 
-    private void recordMismatch(EngineAttempt attempt, HttpFields headers) {
-        traffic.metrics().mismatchedResponses.inc();
-        log.mismatch(attempt, headers.get("X-Request-Id"));
-    }
-
     @Override
     public synchronized void onEvent(EngineStream stream, SseParser.Event event) {
         EngineAttempt attempt = attemptOf(stream);
@@ -247,7 +236,7 @@
             return;
         }
         if (EngineChunk.belongsToOther(headers, attempt)) {
-            onOtherResponse(attempt, headers);
+            handleMismatch(attempt, headers, EngineChunk.HeaderCheck.OTHER_REQUEST);
             return;
         }
         String type = EngineChunk.errorType(body);
@@ -388,7 +377,7 @@
     private void abandon(EngineAttempt attempt) {
         attempt.stream().abort();
         attempt.reservation().release(traffic.nowMillis());
-        cancelAtEngine(attempt);
+        traffic.cancelAtEngine(attempt);
     }
 
     private EngineAttempt newAttempt(EngineChoice choice) {
@@ -518,7 +507,7 @@
         if (unresponsive) {
             traffic.table().markUnreachable(primary.engine(), reason);
         }
-        cancelAtEngine(primary);
+        traffic.cancelAtEngine(primary);
         if (!promoteHedge(reason)) {
             reroute(reason, true, false);
         }
@@ -571,16 +560,6 @@
         released.reservation().release(traffic.nowMillis());
     }
 
-    private void cancelUnlessResumed(EngineAttempt attempt) {
-        if (!traffic.usesEngineRequest(attempt.engineRequestId())) {
-            cancelAtEngine(attempt);
-        }
-    }
-
-    private void cancelAtEngine(EngineAttempt attempt) {
-        traffic.client().cancel(attempt.engine().baseUrl(), attempt.engineRequestId());
-    }
-
     private void complete() {
         long nowMillis = traffic.nowMillis();
         primary.recordService(nowMillis);
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/TrafficContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/TrafficContext.java
@@ -121,6 +121,18 @@
         return calls().stream().anyMatch(call -> call.usesEngineRequest(engineRequestId));
     }
 
+    /** Cancels an attempt's request at its engine. */
+    void cancelAtEngine(EngineAttempt attempt) {
+        client().cancel(attempt.engine().baseUrl(), attempt.engineRequestId());
+    }
+
+    /** Cancels an attempt's request at its engine unless its caller has resumed the stream. */
+    void cancelUnlessResumed(EngineAttempt attempt) {
+        if (!usesEngineRequest(attempt.engineRequestId())) {
+            cancelAtEngine(attempt);
+        }
+    }
+
     /** Counts a request for each of its prefixes. */
     void recordPrefixes(RequestProfile profile, long nowMillis) {
         for (int level = 0; level < profile.levelCount(); level++) {
