Give each connection to an upstream a buffer of its own

So one buffer was in use by two connections.

Buffers live as long as a connection here, which carries one request, so that pooling saved little.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.SocketAddressResolver;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -65,6 +66,11 @@
         HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
         client.setExecutor(executor);
         client.setScheduler(scheduler);
+        // With the client's pool, two connections now and then shared one buffer while one of them was being closed. A
+        // buffer lives as short as its connection, so that it is cheap on the heap and expensive as direct memory.
+        client.setByteBufferPool(new ByteBufferPool.NonPooling());
+        client.setUseInputDirectByteBuffers(false);
+        client.setUseOutputDirectByteBuffers(false);
         client.setSocketAddressResolver(new SocketAddressResolver.Sync());
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setMaxResponseHeadersSize(maxHeadBytes);
