--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamNotices.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamNotices.java
@@ -15,8 +15,7 @@
     /** Longest pause that an upstream can ask for. */
     public static final long MAX_PAUSE_MILLIS = 300_000;
 
-    // An upstream that leaves still serves for a moment, which is used only where no other one can. Half of the
-    // shortest
+    // An upstream that leaves still serves for a moment, which is used only where no other one can. Shorter than any
     // time within which requests must stop.
     private static final long LEAVING_GRACE_MILLIS = 1_000;
     // An entry that lapses with the store's outage comes back, and the upstream is still leaving then.
