--- a/agatelane-node/src/test/java/io/agatelane/node/io/engine/StreamFailureTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/engine/StreamFailureTest.java
@@ -148,8 +148,7 @@
     }
 
     // Guards against a refusal of an earlier request on a kept connection that is taken for the answer to a request
-    // which
-    // the engine runs: another engine runs it as well.
+    // that the engine runs: another engine runs it as well.
     @Test
     public void refusalOfAnotherRequestIsNoReasonToReroute() throws Exception {
         engines.forEach(engine -> engine.repeatRefusalOnce = true);
