Divide load digests into datagrams that apply by themselves

Cause: UdpSocket received with the library's default buffer of 2,048 bytes. The digest of a relay for 60 engines or more is longer, so it was cut off and dropped whole (event gossip_unreadable), and the routers of a large fleet knew little of each other's load.

A larger buffer alone would leave datagrams above the path MTU, of which one lost fragment loses all. A digest is now sent as datagrams of at most 1,200 bytes. Each names the range of upstreams that its loads cover, so a lost or late one affects only its range. Digests also carry the age of their loads, and sums of the demand of client accounts and services, which nothing fills yet. The receive buffer takes any datagram; truncated and unsent datagrams are counted and logged, and the line for unreadable digests is limited in rate. The age of the loads is logged with each choice and a histogram.

DigestDatagramsTest.longDatagramsAreReceivedWhole fails with the former receive buffer. digestsArriveAtEverySizeDespiteLossAndReordering sends digests for 11, 68, 34 and 7,200 upstreams over loopback.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
@@ -3,6 +3,7 @@
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PeerTotal;
 import io.agatelane.core.fleet.PrefillBacklog;
+import io.agatelane.core.fleet.UpstreamRange;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -38,26 +39,99 @@
         Source(long expiryMillis) {
             this.expiryMillis = expiryMillis;
         }
+
+        /** Age at which what such a sender has sent no longer counts. */
+        long expiryMillis() {
+            return expiryMillis;
+        }
+    }
+
+    /**
+     * Loads of the upstreams of a range, from one datagram.
+     *
+     * @param sequence increases with each digest of the sender
+     * @param sentAgeMillis age of the loads when they were sent; 0 for the sender's own
+     */
+    public record Part(long sequence, UpstreamRange range, long sentAgeMillis, List<PeerLoad> loads) {
+        public Part {
+            loads = List.copyOf(loads);
+        }
+
+        /** A digest that was sent in one datagram and contains the sender's own loads. */
+        public static Part whole(long sequence, List<PeerLoad> loads) {
+            return new Part(sequence, UpstreamRange.ALL, 0, loads);
+        }
+
+        private Part within(UpstreamRange newRange) {
+            return new Part(
+                    sequence,
+                    newRange,
+                    sentAgeMillis,
+                    loads.stream()
+                            .filter(load -> newRange.contains(load.upstream()))
+                            .toList());
+        }
     }
 
-    private record Digest(Source source, long incarnation, long sequence, long receivedMillis, List<PeerLoad> loads) {}
+    private record ReceivedPart(Part part, long receivedMillis) {
+        private List<ReceivedPart> without(UpstreamRange range) {
+            return part.range().minus(range).stream()
+                    .map(remaining -> new ReceivedPart(part.within(remaining), receivedMillis))
+                    .toList();
+        }
+
+        private long ageMillis(long nowMillis) {
+            return nowMillis - receivedMillis + part.sentAgeMillis();
+        }
+    }
+
+    // The ranges of the parts do not overlap.
+    private record Digest(Source source, long incarnation, List<ReceivedPart> parts) {
+        private List<PeerLoad> loads() {
+            return parts.stream()
+                    .flatMap(received -> received.part().loads().stream())
+                    .toList();
+        }
+    }
 
     /** Stores a digest of one router unless a newer one of the same router is present. */
     public void update(String vm, long incarnation, long sequence, List<PeerLoad> loads, long nowMillis) {
-        update(vm, Source.ROUTER, incarnation, sequence, loads, nowMillis);
+        update(vm, Source.ROUTER, incarnation, Part.whole(sequence, loads), nowMillis);
     }
 
-    /** Stores a digest unless a newer one of the same sender is present. */
-    public synchronized void update(
-            String vm, Source source, long incarnation, long sequence, List<PeerLoad> loads, long nowMillis) {
+    /** Stores a part of a digest, except for upstreams of which a newer part of the same sender is present. */
+    public synchronized void update(String vm, Source source, long incarnation, Part part, long nowMillis) {
         Digest known = digests.get(vm);
-        boolean outdated = known != null
-                && (known.incarnation() > incarnation
-                        || (known.incarnation() == incarnation && known.sequence() >= sequence));
-        if (!outdated) {
-            digests.put(vm, new Digest(source, incarnation, sequence, nowMillis, List.copyOf(loads)));
-            changed = true;
+        if (known != null && known.incarnation() > incarnation) {
+            return;
+        }
+        boolean sameStart = known != null && known.incarnation() == incarnation && known.source() == source;
+        List<ReceivedPart> merged = new ArrayList<>();
+        List<ReceivedPart> added = List.of(new ReceivedPart(part, nowMillis));
+        for (ReceivedPart old : sameStart ? known.parts() : List.<ReceivedPart>of()) {
+            if (old.part().sequence() > part.sequence()) {
+                merged.add(old);
+                added = added.stream()
+                        .flatMap(piece -> piece.without(old.part().range()).stream())
+                        .toList();
+            } else {
+                merged.addAll(old.without(part.range()));
+            }
         }
+        merged.addAll(added);
+        digests.put(vm, new Digest(source, incarnation, List.copyOf(merged)));
+        changed = true;
+    }
+
+    /** Mean age of the loads that the other routers have sent; 0 when there are none. */
+    public synchronized long meanAgeMillis(Set<Source> sources, long nowMillis) {
+        expire(nowMillis);
+        return Math.round(digests.values().stream()
+                .filter(digest -> sources.contains(digest.source()))
+                .flatMap(digest -> digest.parts().stream())
+                .mapToLong(received -> received.ageMillis(nowMillis))
+                .average()
+                .orElse(0));
     }
 
     /** Removes the digest of a router whose requests are now contained in the digest of another one. */
@@ -106,8 +180,18 @@
     }
 
     private void expire(long nowMillis) {
-        changed |=
-                digests.values().removeIf(digest -> nowMillis - digest.receivedMillis() > digest.source().expiryMillis);
+        for (Map.Entry<String, Digest> entry : digests.entrySet()) {
+            Digest digest = entry.getValue();
+            List<ReceivedPart> recent = digest.parts().stream()
+                    .filter(received -> nowMillis - received.receivedMillis()
+                            <= digest.source().expiryMillis())
+                    .toList();
+            if (recent.size() < digest.parts().size()) {
+                entry.setValue(new Digest(digest.source(), digest.incarnation(), recent));
+                changed = true;
+            }
+        }
+        digests.values().removeIf(digest -> digest.parts().isEmpty());
     }
 
     private Map<Long, PeerTotal> sum() {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
@@ -5,16 +5,22 @@
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import io.agatelane.core.fleet.PrefillBacklog;
+import io.agatelane.core.fleet.ServiceDemand;
+import io.agatelane.core.fleet.UpstreamRange;
+import io.agatelane.core.limits.AccountDemand;
+import io.agatelane.wire.peer.AccountDemandEntry;
 import io.agatelane.wire.peer.CrashReportEntry;
 import io.agatelane.wire.peer.LoadDigest;
 import io.agatelane.wire.peer.LoadedWeightsEntry;
 import io.agatelane.wire.peer.PartReportEntry;
 import io.agatelane.wire.peer.PlacementEntry;
+import io.agatelane.wire.peer.ServiceDemandEntry;
 import io.agatelane.wire.peer.UpstreamLoadEntry;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
+import java.util.function.Function;
 import java.util.stream.Collectors;
 
 /** Converts between the parts of a gossiped load digest and the router's own types. */
@@ -23,14 +29,22 @@
 
     private DigestCodec() {}
 
-    static void addLoads(LoadDigest.Builder digest, List<PeerLoad> loads) {
-        loads.forEach(load -> digest.addLoads(UpstreamLoadEntry.newBuilder()
+    static UpstreamLoadEntry encode(PeerLoad load) {
+        return UpstreamLoadEntry.newBuilder()
                 .setUpstream(load.upstream())
                 .setInFlight(load.inFlight())
                 .addAllPrefillMillis(load.backlog().wholeMillisByPriority())
                 .setSilentMillis(load.oldestUnansweredMillis())
                 .setFailuresPercent((int) Math.round(load.failures() * PERCENT))
-                .setMemoryTokens(load.memoryTokens())));
+                .setMemoryTokens(load.memoryTokens())
+                .build();
+    }
+
+    /** The range of upstreams that a datagram covers; all of them in a digest of an earlier build. */
+    static UpstreamRange range(LoadDigest digest) {
+        return digest.hasFirstUpstream() && digest.hasLastUpstream()
+                ? new UpstreamRange(digest.getFirstUpstream(), digest.getLastUpstream())
+                : UpstreamRange.ALL;
     }
 
     static List<PeerLoad> loads(LoadDigest digest) {
@@ -45,18 +59,28 @@
                 .toList();
     }
 
-    static void addEvents(LoadDigest.Builder digest, DigestEvents events) {
-        events.crashes()
-                .forEach(report -> digest.addCrashes(CrashReportEntry.newBuilder()
+    static List<CrashReportEntry> crashes(DigestEvents events) {
+        return events.crashes().stream()
+                .map(report -> CrashReportEntry.newBuilder()
                         .setFingerprint(report.fingerprint())
                         .setReporter(report.reporter())
-                        .setCount(report.count())));
-        events.partReports().forEach(report -> digest.addPartReports(encode(report)));
-        events.placements()
-                .forEach(placement -> digest.addPlacements(PlacementEntry.newBuilder()
+                        .setCount(report.count())
+                        .build())
+                .toList();
+    }
+
+    static List<PartReportEntry> partReports(DigestEvents events) {
+        return events.partReports().stream().map(DigestCodec::encode).toList();
+    }
+
+    static List<PlacementEntry> placements(DigestEvents events) {
+        return events.placements().stream()
+                .map(placement -> PlacementEntry.newBuilder()
                         .setPart(placement.part())
                         .setHolder(placement.holder())
-                        .setTokens(placement.tokens())));
+                        .setTokens(placement.tokens())
+                        .build())
+                .toList();
     }
 
     static DigestEvents events(LoadDigest digest) {
@@ -82,13 +106,58 @@
         return new PartReport(entry.getPart(), engine, Math.max(0, entry.getAgeMillis()));
     }
 
-    static void addHints(LoadDigest.Builder digest, RolloutHints hints) {
-        digest.addAllReserved(hints.reserved());
-        hints.loaded()
-                .forEach((loaded, version) -> digest.addLoaded(LoadedWeightsEntry.newBuilder()
-                        .setUpstream(loaded.upstream())
-                        .setModel(loaded.model())
-                        .setVersion(version)));
+    static List<LoadedWeightsEntry> loadedWeights(RolloutHints hints) {
+        return hints.loaded().entrySet().stream()
+                .map(loaded -> LoadedWeightsEntry.newBuilder()
+                        .setUpstream(loaded.getKey().upstream())
+                        .setModel(loaded.getKey().model())
+                        .setVersion(loaded.getValue())
+                        .build())
+                .toList();
+    }
+
+    static List<AccountDemandEntry> accounts(List<AccountDemand> demands) {
+        return demands.stream()
+                .map(demand -> AccountDemandEntry.newBuilder()
+                        .setAccount(demand.account())
+                        .setDemandPerSecond(demand.demandPerSecond())
+                        .setAdmittedPerSecond(demand.admittedPerSecond())
+                        .build())
+                .toList();
+    }
+
+    static Map<Long, AccountDemand> accounts(LoadDigest digest) {
+        return digest.getAccountsList().stream()
+                .map(entry -> new AccountDemand(
+                        entry.getAccount(),
+                        Math.max(0, entry.getDemandPerSecond()),
+                        Math.max(0, entry.getAdmittedPerSecond())))
+                .collect(Collectors.toMap(AccountDemand::account, Function.identity(), AccountDemand::plus));
+    }
+
+    static List<ServiceDemandEntry> services(List<ServiceDemand> demands) {
+        return demands.stream()
+                .map(demand -> ServiceDemandEntry.newBuilder()
+                        .setService(demand.key().service())
+                        .setAccount(demand.key().account())
+                        .setPriority(demand.key().priority())
+                        .setDemandMillisPerSecond(demand.demandMillisPerSecond())
+                        .setAdmittedMillisPerSecond(demand.admittedMillisPerSecond())
+                        .setWaiting(demand.waiting())
+                        .setInFlight(demand.inFlight())
+                        .build())
+                .toList();
+    }
+
+    static Map<ServiceDemand.Key, ServiceDemand> services(LoadDigest digest) {
+        return digest.getServicesList().stream()
+                .map(entry -> new ServiceDemand(
+                        new ServiceDemand.Key(entry.getService(), entry.getAccount(), entry.getPriority()),
+                        Math.max(0, entry.getDemandMillisPerSecond()),
+                        Math.max(0, entry.getAdmittedMillisPerSecond()),
+                        Math.max(0, entry.getWaiting()),
+                        Math.max(0, entry.getInFlight())))
+                .collect(Collectors.toMap(ServiceDemand::key, Function.identity(), ServiceDemand::plus));
     }
 
     static RolloutHints hints(LoadDigest digest) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -57,6 +57,7 @@
     private final List<HttpClient> clients;
     private final QueuedThreadPool threads;
     private final CountDownLatch closed = new CountDownLatch(1);
+    private final MetricRegistry metrics;
     private volatile UdpSocket gossipSocket;
     private volatile boolean draining;
 
@@ -64,7 +65,7 @@
         this.settings = settings;
         state = new FleetState(settings.vmName());
         control = new ControlThread(settings.vmName());
-        MetricRegistry metrics = new MetricRegistry();
+        metrics = new MetricRegistry();
         threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
         threads.setReservedThreads(0);
         threads.setName("http");
@@ -148,6 +149,8 @@
     private void startGossip() {
         gossipSocket = UdpSocket.bind(
                 settings.peerAddress(), "gossip", (from, bytes) -> control.execute(() -> gossip.receive(from, bytes)));
+        metrics.gauge("gossip_truncated_total", () -> gossipSocket::truncatedCount);
+        metrics.gauge("gossip_unsent_total", () -> gossipSocket::unsentCount);
         gossip.start();
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -7,14 +7,18 @@
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex;
 import io.agatelane.core.fleet.RequestedWeights;
+import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.UpstreamEstimate;
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.PartSuspects;
+import io.agatelane.core.fleet.command.PeerEntries;
 import io.agatelane.core.fleet.command.PeerLoads;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.command.UpstreamNotices;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.hash.Rendezvous;
+import io.agatelane.core.limits.AccountDemand;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -34,6 +38,8 @@
     static final long RESERVATION_MILLIS = 1_000;
 
     private final PeerLoads peers = new PeerLoads();
+    private final PeerEntries<Long, AccountDemand> peerAccounts = new PeerEntries<>(AccountDemand::plus);
+    private final PeerEntries<ServiceDemand.Key, ServiceDemand> peerServices = new PeerEntries<>(ServiceDemand::plus);
     private final PlacementIndex placements = new PlacementIndex();
     private final CrashSuspects suspects;
     private final PartSuspects partSuspects = new PartSuspects();
@@ -165,6 +171,28 @@
         return peers;
     }
 
+    /** Mean age of the loads that the other routers have reported; 0 when there are none. */
+    public long peerAgeMillis(long nowMillis) {
+        return peers.meanAgeMillis(EnumSet.allOf(PeerLoads.Source.class), nowMillis);
+    }
+
+    /** Demand of client accounts with a rate limit at the other routers, by hash of the account's name. */
+    public PeerEntries<Long, AccountDemand> peerAccounts() {
+        return peerAccounts;
+    }
+
+    /** Demand for services at the other routers. */
+    public PeerEntries<ServiceDemand.Key, ServiceDemand> peerServices() {
+        return peerServices;
+    }
+
+    /** Forgets what a router has reported, because another one reports it from now on. */
+    void removePeer(String vm) {
+        peers.remove(vm);
+        peerAccounts.remove(vm);
+        peerServices.remove(vm);
+    }
+
     /** Index of the holders that shared prompt parts were sent to. */
     public PlacementIndex placements() {
         return placements;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -4,7 +4,10 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.PeerLoad;
+import io.agatelane.core.fleet.ServiceDemand;
+import io.agatelane.core.fleet.command.PeerLoads.Part;
 import io.agatelane.core.fleet.command.PeerLoads.Source;
+import io.agatelane.core.limits.AccountDemand;
 import io.agatelane.node.api.StoreContentId;
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.util.EventLog;
@@ -12,10 +15,14 @@
 import io.agatelane.wire.peer.LoadDigest;
 import io.agatelane.wire.peer.StoreContentEntry;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * Sends the other routers digests of what this one has in flight, and receives theirs. Digests are only hints, because
@@ -35,6 +42,7 @@
     private static final int MAX_DIRECT = 12;
     // Router to relay, relay to relay, relay to router.
     private static final int RELAYED_STEPS = 3;
+    private static final long UNREADABLE_LOG_MILLIS = 1_000;
 
     private final FleetState state;
     private final StorePoller poller;
@@ -49,6 +57,24 @@
     private final SentDigests sentDigests = new SentDigests();
     private Optional<String> relayName = Optional.empty();
     private long sequence;
+    private long lastUnreadableLogMillis = -UNREADABLE_LOG_MILLIS;
+    private volatile OwnDemands demands = OwnDemands.NONE;
+
+    /** Demand that this router reports to the others. */
+    interface OwnDemands {
+        /** Reports nothing. */
+        OwnDemands NONE = new OwnDemands() {};
+
+        /** Demand of client accounts with a rate limit. */
+        default List<AccountDemand> accounts(long nowMillis) {
+            return List.of();
+        }
+
+        /** Demand for services. */
+        default List<ServiceDemand> services(long nowMillis) {
+            return List.of();
+        }
+    }
 
     /** Sends a packet to another router; it may be lost. */
     @FunctionalInterface
@@ -81,6 +107,11 @@
         timers.every("load-gossip", PERIOD_MILLIS, this::send);
     }
 
+    /** Sets the demands to report to the other routers. */
+    void setDemands(OwnDemands newDemands) {
+        demands = newDemands;
+    }
+
     /** Whether this router forwards the digests of the routers of its zone. */
     boolean isRelay() {
         return relays.isRelay();
@@ -98,29 +129,34 @@
     private void send() {
         sequence++;
         long nowMillis = timers.monotonicMillis();
-        List<PeerLoad> loads = state.reportedLoads(nowMillis);
-        DigestEvents events = new DigestEvents(
-                state.placements().takeUnsent(),
-                state.suspects().takeUnsent(),
-                state.partSuspects().takeReports(nowMillis));
+        DigestContent own = new DigestContent(
+                state.reportedLoads(nowMillis),
+                0,
+                new DigestEvents(
+                        state.placements().takeUnsent(),
+                        state.suspects().takeUnsent(),
+                        state.partSuspects().takeReports(nowMillis)),
+                state.rolloutHints(),
+                demands.accounts(nowMillis),
+                demands.services(nowMillis));
         if (isDirect()) {
-            byte[] packet = digest(DigestKind.DIGEST_KIND_DIRECT, loads, events, state.rolloutHints());
-            registry.others().forEach(other -> send(other.address(), packet));
+            List<byte[]> datagrams = digest(DigestKind.DIGEST_KIND_DIRECT, own);
+            registry.others().forEach(other -> send(other.address(), datagrams));
             return;
         }
         RouterEntry relay = relays.selectRelay(registry.others(), nowMillis);
         recordRelay(relay);
         if (!relays.isRelay()) {
             ClockReading sentAt = new ClockReading(nowMillis, timers.epochMillis());
-            sentDigests.recordSent(sequence, sentAt, loads, events.placements());
-            send(relay.address(), digest(DigestKind.DIGEST_KIND_TO_RELAY, loads, events, state.rolloutHints()));
+            sentDigests.recordSent(sequence, sentAt, own);
+            send(relay.address(), digest(DigestKind.DIGEST_KIND_TO_RELAY, own));
         }
         List<RelayOutbox.Member> members = outbox.members(nowMillis);
         if (relays.isRelay()) {
-            forward(members, loads, events, state.rolloutHints());
+            forward(members, own);
         } else if (!members.isEmpty()) {
             // This router reports to another relay, so its own loads must not be forwarded from here as well.
-            forward(members, List.of(), DigestEvents.NONE, RolloutHints.NONE);
+            forward(members, DigestContent.empty());
         }
     }
 
@@ -133,27 +169,44 @@
                 .with("before", relayName.orElse("none"))
                 .info();
         // The new relay reports the loads of the same routers.
-        relayName.ifPresent(state.peers()::remove);
+        relayName.ifPresent(state::removePeer);
         relayName = Optional.of(relay.vm());
     }
 
-    private void forward(
-            List<RelayOutbox.Member> members, List<PeerLoad> loads, DigestEvents own, RolloutHints ownHints) {
+    private void forward(List<RelayOutbox.Member> members, DigestContent own) {
         long nowMillis = timers.monotonicMillis();
-        DigestEvents forRelays = own.plus(outbox.takeFromMembers());
-        byte[] between = digest(
+        DigestEvents forRelays = own.events().plus(outbox.takeFromMembers());
+        List<byte[]> between = digest(
                 DigestKind.DIGEST_KIND_BETWEEN_RELAYS,
-                state.peers().sumForRelay(Set.of(Source.ROUTER), loads, nowMillis),
-                forRelays,
-                outbox.hintsForRelays(ownHints, nowMillis));
+                sum(EnumSet.of(Source.ROUTER), own, nowMillis)
+                        .withEvents(forRelays, outbox.hintsForRelays(own.hints(), nowMillis)));
         relays.otherZoneRelays(registry.others(), nowMillis).forEach(relay -> send(relay.address(), between));
         DigestEvents forMembers = forRelays.plus(outbox.takeFromRelays());
-        byte[] toMembers = digest(
+        List<byte[]> toMembers = digest(
                 DigestKind.DIGEST_KIND_FROM_RELAY,
-                state.peers().sumForRelay(EnumSet.allOf(Source.class), loads, nowMillis),
-                forMembers,
-                outbox.hintsForMembers(ownHints, nowMillis));
-        members.forEach(member -> send(member.address(), withResponse(toMembers, member)));
+                sum(EnumSet.allOf(Source.class), own, nowMillis)
+                        .withEvents(forMembers, outbox.hintsForMembers(own.hints(), nowMillis)));
+        members.forEach(member -> {
+            List<byte[]> datagrams = new ArrayList<>(toMembers);
+            datagrams.set(0, withResponse(toMembers.get(0), member));
+            send(member.address(), datagrams);
+        });
+    }
+
+    private DigestContent sum(Set<Source> sources, DigestContent own, long nowMillis) {
+        return own.withSums(
+                state.peers().sumForRelay(sources, own.loads(), nowMillis),
+                state.peers().meanAgeMillis(sources, nowMillis),
+                state.peerAccounts().sums(sources, byAccount(own), nowMillis).values(),
+                state.peerServices().sums(sources, byKey(own), nowMillis).values());
+    }
+
+    private static Map<Long, AccountDemand> byAccount(DigestContent content) {
+        return content.accounts().stream().collect(Collectors.toMap(AccountDemand::account, Function.identity()));
+    }
+
+    private static Map<ServiceDemand.Key, ServiceDemand> byKey(DigestContent content) {
+        return content.services().stream().collect(Collectors.toMap(ServiceDemand::key, Function.identity()));
     }
 
     // Protobuf parsers merge concatenated messages, so the common part is encoded only once.
@@ -180,32 +233,42 @@
                 .orElse(Long.MAX_VALUE);
     }
 
-    private byte[] digest(DigestKind kind, List<PeerLoad> loads, DigestEvents events, RolloutHints hints) {
-        LoadDigest.Builder digest = LoadDigest.newBuilder()
+    private List<byte[]> digest(DigestKind kind, DigestContent content) {
+        LoadDigest header = LoadDigest.newBuilder()
                 .setKind(kind)
                 .setVm(self.vm())
                 .setIncarnation(incarnation)
-                .setSequence(sequence);
-        DigestCodec.addLoads(digest, loads);
-        DigestCodec.addEvents(digest, events);
-        DigestCodec.addHints(digest, hints);
-        return digest.build().toByteArray();
+                .setSequence(sequence)
+                .build();
+        return DigestDatagrams.encode(header, content);
     }
 
-    private void send(InetSocketAddress target, byte[] packet) {
-        sender.send(target, packet);
-        metrics.counter("gossip_packets_sent_total").inc();
-        metrics.counter("gossip_bytes_sent_total").inc(packet.length);
+    private void send(InetSocketAddress target, List<byte[]> datagrams) {
+        for (byte[] datagram : datagrams) {
+            sender.send(target, datagram);
+            metrics.counter("gossip_packets_sent_total").inc();
+            metrics.counter("gossip_bytes_sent_total").inc(datagram.length);
+        }
     }
 
-    /** Processes a packet. Must be called on the control thread. */
+    /** Processes a datagram. Must be called on the control thread. */
     void receive(InetSocketAddress from, byte[] bytes) {
         try {
             process(from, LoadDigest.parseFrom(bytes));
         } catch (InvalidProtocolBufferException e) {
-            metrics.counter("gossip_unreadable_total").inc();
+            recordUnreadable(bytes.length);
+        }
+    }
+
+    // One line a period: a sender whose datagrams cannot be read sends them periodically.
+    private void recordUnreadable(int bytes) {
+        metrics.counter("gossip_unreadable_total").inc();
+        long nowMillis = timers.monotonicMillis();
+        if (nowMillis - lastUnreadableLogMillis >= UNREADABLE_LOG_MILLIS) {
+            lastUnreadableLogMillis = nowMillis;
             LOG.event("gossip_unreadable")
-                    .with("bytes", bytes.length)
+                    .with("bytes", bytes)
+                    .with("total", metrics.counter("gossip_unreadable_total").getCount())
                     .with("action", "dropped")
                     .info();
         }
@@ -216,15 +279,15 @@
         DigestEvents events = DigestCodec.events(digest);
         RolloutHints hints = DigestCodec.hints(digest);
         switch (digest.getKind()) {
-            case DIGEST_KIND_DIRECT -> update(digest, Source.ROUTER, DigestCodec.loads(digest));
+            case DIGEST_KIND_DIRECT -> update(digest, Source.ROUTER);
             case DIGEST_KIND_TO_RELAY -> {
-                update(digest, Source.ROUTER, DigestCodec.loads(digest));
+                update(digest, Source.ROUTER);
                 RelayOutbox.Member member =
                         new RelayOutbox.Member(from, digest.getIncarnation(), digest.getSequence(), nowMillis);
                 outbox.receivedFromMember(digest.getVm(), member, events, hints);
             }
             case DIGEST_KIND_BETWEEN_RELAYS -> {
-                update(digest, Source.RELAY, DigestCodec.loads(digest));
+                update(digest, Source.RELAY);
                 outbox.receivedFromRelay(digest.getVm(), events, hints, nowMillis);
                 registry.others().stream()
                         .filter(other -> other.vm().equals(digest.getVm()))
@@ -235,7 +298,12 @@
                     // A former relay of this router; the current one sends the same content.
                     return;
                 }
-                update(digest, Source.RELAY, sentDigests.withoutOwn(DigestCodec.loads(digest)));
+                update(
+                        digest,
+                        Source.RELAY,
+                        sentDigests.withoutOwn(DigestCodec.loads(digest)),
+                        sentDigests.accountsWithoutOwn(DigestCodec.accounts(digest)),
+                        sentDigests.servicesWithoutOwn(DigestCodec.services(digest)));
                 verifyContent(digest);
             }
             default -> LOG.event("gossip_kind_unknown")
@@ -249,15 +317,26 @@
         events.partReports().forEach(report -> state.partSuspects().merge(report, nowMillis));
     }
 
-    private void update(LoadDigest digest, Source source, List<PeerLoad> loads) {
-        state.peers()
-                .update(
-                        digest.getVm(),
-                        source,
-                        digest.getIncarnation(),
-                        digest.getSequence(),
-                        loads,
-                        timers.monotonicMillis());
+    private void update(LoadDigest digest, Source source) {
+        update(digest, source, DigestCodec.loads(digest), DigestCodec.accounts(digest), DigestCodec.services(digest));
+    }
+
+    private void update(
+            LoadDigest digest,
+            Source source,
+            List<PeerLoad> loads,
+            Map<Long, AccountDemand> accounts,
+            Map<ServiceDemand.Key, ServiceDemand> services) {
+        long nowMillis = timers.monotonicMillis();
+        String vm = digest.getVm();
+        long start = digest.getIncarnation();
+        Part part =
+                new Part(digest.getSequence(), DigestCodec.range(digest), Math.max(0, digest.getAgeMillis()), loads);
+        if (!part.range().isEmpty()) {
+            state.peers().update(vm, source, start, part, nowMillis);
+        }
+        state.peerAccounts().update(vm, source, start, digest.getSequence(), accounts, nowMillis);
+        state.peerServices().update(vm, source, start, digest.getSequence(), services, nowMillis);
     }
 
     private void verifyContent(LoadDigest digest) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/SentDigests.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/SentDigests.java
@@ -3,11 +3,16 @@
 import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
+import io.agatelane.core.fleet.ServiceDemand;
+import io.agatelane.core.limits.AccountDemand;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BinaryOperator;
+import java.util.function.Function;
+import java.util.stream.Collectors;
 
 /**
  * The digests that this router has sent to its relay: when, because that dates what the relay's response verifies, and
@@ -22,13 +27,17 @@
     private final Map<Long, ClockReading> sendTimes = bounded(MAX_SEND_TIMES);
     private final Map<Placement, Boolean> placements = bounded(MAX_PLACEMENTS);
     private Map<Long, PeerLoad> loads = Map.of();
+    private Map<Long, AccountDemand> accounts = Map.of();
+    private Map<ServiceDemand.Key, ServiceDemand> services = Map.of();
 
-    void recordSent(long sequence, ClockReading sentAt, List<PeerLoad> sentLoads, List<Placement> sentPlacements) {
+    void recordSent(long sequence, ClockReading sentAt, DigestContent content) {
         sendTimes.put(sequence, sentAt);
         Map<Long, PeerLoad> byUpstream = new HashMap<>();
-        sentLoads.forEach(load -> byUpstream.put(load.upstream(), load));
+        content.loads().forEach(load -> byUpstream.put(load.upstream(), load));
         loads = byUpstream;
-        sentPlacements.forEach(placement -> placements.put(placement, true));
+        accounts = content.accounts().stream().collect(Collectors.toMap(AccountDemand::account, Function.identity()));
+        services = content.services().stream().collect(Collectors.toMap(ServiceDemand::key, Function.identity()));
+        content.events().placements().forEach(placement -> placements.put(placement, true));
     }
 
     /** When a digest was sent; empty when it is unknown or long ago. */
@@ -46,6 +55,23 @@
                 .toList();
     }
 
+    /** The demands of accounts that a relay has forwarded, without this router's own part. */
+    Map<Long, AccountDemand> accountsWithoutOwn(Map<Long, AccountDemand> relayed) {
+        return without(relayed, accounts, AccountDemand::minus);
+    }
+
+    /** The demands for services that a relay has forwarded, without this router's own part. */
+    Map<ServiceDemand.Key, ServiceDemand> servicesWithoutOwn(Map<ServiceDemand.Key, ServiceDemand> relayed) {
+        return without(relayed, services, ServiceDemand::minus);
+    }
+
+    private static <K, V> Map<K, V> without(Map<K, V> relayed, Map<K, V> own, BinaryOperator<V> minus) {
+        Map<K, V> remaining = new HashMap<>(relayed);
+        own.forEach((key, value) ->
+                remaining.computeIfPresent(key, (unused, relayedValue) -> minus.apply(relayedValue, value)));
+        return remaining;
+    }
+
     /** Whether a placement is another router's; one of this router's own that has come back is forgotten. */
     boolean isForeign(Placement placement) {
         return placements.remove(placement) == null;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -41,6 +41,8 @@
     /** Logs that a request is sent to a chosen upstream, and why. */
     static void sent(ForwardContext context, String id, int attempt, UpstreamChoice choice, FleetSnapshot snapshot) {
         Candidate chosen = choice.candidate();
+        long peerAgeMillis = context.state().peerAgeMillis(context.timers().monotonicMillis());
+        context.metrics().histogram("peer_load_age_ms").update(peerAgeMillis);
         LOG.event("request_sent")
                 .with("id", id)
                 .with("send", attempt)
@@ -53,6 +55,7 @@
                 .with("memory_tokens", chosen.estimate().memoryTokens())
                 .with("silent_ms", chosen.estimate().oldestUnansweredMillis())
                 .with("failures", chosen.estimate().failures())
+                .with("peer_age_ms", peerAgeMillis)
                 .with("cache_source", choice.cacheSource().orElse("none"))
                 .with("config", version(snapshot))
                 .with("proof_age_ms", configAgeMillis(context, snapshot))
