--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetAccount.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetAccount.java
@@ -1,5 +1,7 @@
 package io.agatelane.core.fleet;
 
+import io.agatelane.core.limits.AccountLimit;
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
@@ -7,5 +9,6 @@
  *
  * @param priority overrides the priority of the route
  * @param isolated whether its cached prompt parts are not shared with other accounts
+ * @param limit rate limit over all routers; empty when there is none
  */
-public record FleetAccount(String name, OptionalInt priority, boolean isolated) {}
+public record FleetAccount(String name, OptionalInt priority, boolean isolated, Optional<AccountLimit> limit) {}
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
@@ -21,6 +21,9 @@
  * @param retryRatio retries that all routers together may make for each request
  * @param retrySlack retries that all routers together may make in addition
  * @param retryWindowMillis time window to which {@code retryRatio} and {@code retrySlack} apply
+ * @param limitWindowMillis time window in which the units admitted for an account are judged
+ * @param limitTolerance share of an account's limit by which its use in a window may exceed it
+ * @param limitSlack units by which an account's use in a window may exceed its limit in addition
  * @param crossZoneMillis penalty in milliseconds for upstreams in another availability zone than this router
  * @param prefillTokensPerMilli prompt tokens that an engine prefills in a millisecond
  * @param maxResponseHeadBytes largest head of a response
@@ -44,6 +47,9 @@
         double retryRatio,
         double retrySlack,
         long retryWindowMillis,
+        long limitWindowMillis,
+        double limitTolerance,
+        double limitSlack,
         double crossZoneMillis,
         double prefillTokensPerMilli,
         int maxResponseHeadBytes,
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
@@ -35,6 +35,8 @@
     // between chunks, which gives about 80; attention over a long prompt costs another eighth.
     private static final double DEFAULT_PREFILL_TOKENS_PER_MILLI = 70;
     private static final double MAX_PREFILL_TOKENS_PER_MILLI = 100_000;
+    private static final double DEFAULT_LIMIT_WINDOW_SECONDS = 10;
+    private static final double MAX_LIMIT_SLACK = 1e12;
     private static final int DEFAULT_RESPONSE_HEAD_BYTES = 32 << 10;
     private static final int MIN_RESPONSE_HEAD_BYTES = 1 << 10;
     private static final int MAX_RESPONSE_HEAD_BYTES = 1 << 20;
@@ -80,6 +82,9 @@
                 bounds.decimal("retryRatio", DEFAULT_RETRY_RATIO, 0, 1),
                 bounds.decimal("retrySlack", DEFAULT_RETRY_SLACK, 0, MAX_RETRY_SLACK),
                 millis(bounds, "retryWindowSeconds", DEFAULT_RETRY_WINDOW_SECONDS, 0),
+                millis(bounds, "limitWindowSeconds", DEFAULT_LIMIT_WINDOW_SECONDS, 0),
+                bounds.decimal("limitTolerance", 0, 0, 1),
+                bounds.decimal("limitSlack", 0, 0, MAX_LIMIT_SLACK),
                 routing.decimal("crossZoneMillis", DEFAULT_CROSS_ZONE_MILLIS, 0, MAX_MILLIS),
                 routing.decimal(
                         "prefillTokensPerMilli", DEFAULT_PREFILL_TOKENS_PER_MILLI, 1, MAX_PREFILL_TOKENS_PER_MILLI),
