Order engine queues by the route's priority among equal accounts

Cause: an account's priority replaced that of the route.

The account's priority still decides first; among accounts of the same priority the route's priority decides, then the length of the prompt. Priorities in use are mapped to the ten that engines distinguish.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetConfig.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetConfig.java
@@ -17,6 +17,7 @@
     private final Map<String, FleetAccount> accountsByKey;
     private final boolean hasAccounts;
     private final CallerLimits limits;
+    private final PriorityLevels priorityLevels;
 
     /**
      * Builds the lookup tables.
@@ -38,6 +39,9 @@
         this.accountsByKey = Map.copyOf(accountsByKey);
         this.hasAccounts = hasAccounts;
         this.limits = limits;
+        this.priorityLevels = PriorityLevels.of(
+                accountsByKey.values().stream().map(FleetAccount::priority).toList(),
+                routes.stream().map(Route::priority).toList());
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host(), host -> new ArrayList<>())
@@ -81,6 +85,11 @@
         return hasAccounts;
     }
 
+    /** Urgency of the requests by the priorities of their account and route. */
+    public PriorityLevels priorityLevels() {
+        return priorityLevels;
+    }
+
     public CallerLimits limits() {
         return limits;
     }
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/EnginePriorityTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/EnginePriorityTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import io.agatelane.core.fleet.query.EnginePriority;
+import java.util.List;
 import java.util.OptionalInt;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -27,17 +28,33 @@
     public void shortPromptIsAheadOfLongOnesOfTheSameAccount(
             int shortTokens, long shortObjective, int longTokens, long longObjective, double tokensPerMilli) {
         OptionalInt account = OptionalInt.of(1);
-        int shortPriority = EnginePriority.of(account, 0, shortTokens / tokensPerMilli, shortObjective);
-        int longPriority = EnginePriority.of(account, 2, longTokens / tokensPerMilli, longObjective);
+        PriorityLevels levels = PriorityLevels.of(List.of(account), List.of(0, 1, 2));
+        int shortPriority = EnginePriority.of(levels, account, 0, shortTokens / tokensPerMilli, shortObjective);
+        int longPriority = EnginePriority.of(levels, account, 2, longTokens / tokensPerMilli, longObjective);
         assertTrue(shortPriority < longPriority, shortPriority + " and " + longPriority);
     }
 
     // Guards against a rank by length that outweighs the operator's priorities.
     @Test
     public void priorityOutweighsLength() {
-        int longUrgent = EnginePriority.of(OptionalInt.empty(), 0, 1_000, 500);
-        int shortOther = EnginePriority.of(OptionalInt.empty(), 1, 1, 500);
+        PriorityLevels levels = PriorityLevels.of(List.of(), List.of(0, 1, 9));
+        int longUrgent = EnginePriority.of(levels, OptionalInt.empty(), 0, 1_000, 500);
+        int shortOther = EnginePriority.of(levels, OptionalInt.empty(), 1, 1, 500);
         assertTrue(longUrgent < shortOther);
-        assertEquals(EnginePriority.of(OptionalInt.empty(), 9, 1_000, 0), 9);
+        PriorityLevels many = PriorityLevels.of(List.of(), List.of(0, 1, 2, 3, 4, 5, 6, 7, 8, 9));
+        assertEquals(EnginePriority.of(many, OptionalInt.empty(), 9, 1_000, 0), 9);
+    }
+
+    // Guards against long urgent prompts that wait behind short ones of less urgent routes, because all accounts have
+    // the same priority.
+    @Test
+    public void routeDecidesAmongAccountsOfTheSamePriority() {
+        OptionalInt account = OptionalInt.of(1);
+        PriorityLevels levels = PriorityLevels.of(List.of(account, OptionalInt.of(3)), List.of(0, 2));
+        int longUrgent = EnginePriority.of(levels, account, 0, 1_000, 500);
+        int shortOther = EnginePriority.of(levels, account, 2, 1, 500);
+        int urgentOfOtherAccount = EnginePriority.of(levels, OptionalInt.of(3), 0, 1, 500);
+        assertTrue(longUrgent < shortOther, longUrgent + " and " + shortOther);
+        assertTrue(shortOther < urgentOfOtherAccount, shortOther + " and " + urgentOfOtherAccount);
     }
 }
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/OverloadTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/OverloadTest.java
@@ -27,6 +27,7 @@
  * to the engine with the fewest requests and uses one priority for all.
  */
 public class OverloadTest {
+    private static final PriorityLevels LEVELS = PriorityLevels.of(List.of(OptionalInt.of(1)), List.of(0));
     private static final int ENGINES = 4;
     private static final double TOKENS_PER_MILLI = 100;
     private static final long OBJECTIVE_MILLIS = 500;
@@ -124,8 +125,8 @@
             boolean isShort,
             long now,
             Outcome outcome) {
-        int priority =
-                EnginePriority.of(OptionalInt.of(1), 0, prompt.inputTokens() / TOKENS_PER_MILLI, OBJECTIVE_MILLIS);
+        int priority = EnginePriority.of(
+                LEVELS, OptionalInt.of(1), 0, prompt.inputTokens() / TOKENS_PER_MILLI, OBJECTIVE_MILLIS);
         List<Candidate> candidates = new ArrayList<>();
         for (int i = 0; i < engines.size(); i++) {
             Engine engine = engines.get(i);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -4,7 +4,9 @@
 import io.agatelane.core.failure.Executed;
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.FleetAccount;
+import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.PriorityLevels;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
@@ -119,6 +121,11 @@
         this.service = route.serviceFor(ThreadLocalRandom.current().nextDouble());
         this.priority = caller.prompt()
                 .map(prompt -> EnginePriority.of(
+                        context.state()
+                                .snapshot()
+                                .config()
+                                .map(FleetConfig::priorityLevels)
+                                .orElse(PriorityLevels.NONE),
                         account.map(FleetAccount::priority).orElse(OptionalInt.empty()),
                         route.priority(),
                         prompt.inputTokens() / context.prefillSpeed(service).tokensPerMilli(),
