Read states that a relay confirms with cheaper, possibly stale reads

Routers behind a relay read all entries every 4 s and after each change of an upstream's entry, although their relay has already shown which state is the newest.

These reads now allow a stale response (one tenth of the cost, outside of the rate limit). Its content is used only if it is the one that the relay has read; otherwise, and on any failure, the newest state is read at once. Changes of the operator's entries and relays' own reads are unchanged, and only reads of the newest state verify the configuration or count for taking the roll-out lease.

LoadGossipTest.routersBehindARelayReadPossiblyStaleStates counts the reads of 80 routers; staleStateThatTheRelayDoesNotConfirmIsReadAgain holds stale responses back.

--- a/agatelane-node/src/main/java/io/agatelane/node/api/ConditionalStore.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/ConditionalStore.java
@@ -18,6 +18,11 @@
     /** Reads all keys with a prefix, in key order. */
     CompletableFuture<List<KeyValue>> list(String prefix);
 
+    /** Reads all keys with a prefix, in key order, in a state that may lack recent writes. */
+    default CompletableFuture<List<KeyValue>> listPossiblyStale(String prefix) {
+        return list(prefix);
+    }
+
     /**
      * Writes a key if its revision is the expected one.
      *
--- a/agatelane-node/src/main/java/io/agatelane/node/api/FleetSource.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/FleetSource.java
@@ -10,4 +10,14 @@
      * @return fails with {@code PLATFORM_UNAVAILABLE} when the store returned no usable response
      */
     CompletableFuture<FleetReadResult> read();
+
+    /**
+     * Reads a state that may lack recent writes, which is cheaper for the store. Sources without such reads return the
+     * newest state.
+     *
+     * @return fails as {@link #read} does
+     */
+    default CompletableFuture<FleetReadResult> readPossiblyStale() {
+        return read();
+    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -64,9 +64,10 @@
     private Optional<KeyValue> rollout = Optional.empty();
     private StoreContentId content = StoreContentId.NONE;
     private Optional<ClockReading> relayVerifiedAt = Optional.empty();
+    private StoreContentId relayedContent = StoreContentId.NONE;
     private boolean reading;
     private long readStartedMillis;
-    private long appliedMillis;
+    private long newestReadMillis;
     private boolean storeReachable = true;
     private long storeRegainedMillis;
     private boolean closed;
@@ -108,7 +109,7 @@
     /** Whether the entries of the routers were read within the last second. */
     boolean hasReadRecently() {
         return state.snapshot().configVerifiedAt().isPresent()
-                && timers.monotonicMillis() - appliedMillis <= RECENT_READ_MILLIS;
+                && timers.monotonicMillis() - newestReadMillis <= RECENT_READ_MILLIS;
     }
 
     /** The roll-out record as last read. */
@@ -130,6 +131,7 @@
      */
     public void compareWithRelay(StoreContentId relayed, ClockReading verifiedAt) {
         long nowMillis = timers.monotonicMillis();
+        relayedContent = relayed;
         if (relayed.operatorEntries().equals(content.operatorEntries())) {
             relayVerifiedAt = Optional.of(verifiedAt);
             state.snapshot()
@@ -141,7 +143,11 @@
         boolean upstreamsChanged = content.upstreamEntries().mayBeOlderThan(relayed.upstreamEntries());
         long gapMillis = operatorChanged ? MIN_READ_GAP_MILLIS : DIRECTORY_READ_GAP_MILLIS;
         if (!reading && (operatorChanged || upstreamsChanged) && nowMillis - readStartedMillis >= gapMillis) {
-            readOnce(read -> {});
+            if (operatorChanged) {
+                readOnce(read -> {});
+            } else {
+                readPossiblyStale(read -> {});
+            }
         }
     }
 
@@ -154,20 +160,66 @@
         if (closed) {
             return;
         }
-        if (reading || isConfirmedByRelay()) {
+        if (reading || (isConfirmedByRelay() && !isRelayedPollDue())) {
             timers.after(RELAYED_CHECK_MILLIS, this::read);
             return;
         }
-        readOnce(succeeded ->
-                timers.after(succeeded ? pollMillis : RETRY_MILLIS + random.nextLong(RETRY_JITTER_MILLIS), this::read));
+        Consumer<Boolean> scheduleNext = succeeded ->
+                timers.after(succeeded ? pollMillis : RETRY_MILLIS + random.nextLong(RETRY_JITTER_MILLIS), this::read);
+        if (isConfirmedByRelay()) {
+            readPossiblyStale(scheduleNext);
+        } else {
+            readOnce(scheduleNext);
+        }
     }
 
     private boolean isConfirmedByRelay() {
         long nowMillis = timers.monotonicMillis();
-        boolean verified = relayVerifiedAt
+        return relayVerifiedAt
                 .filter(verifiedAt -> verifiedAt.ageMillis(nowMillis, timers.epochMillis()) <= MAX_RELAYED_AGE_MILLIS)
                 .isPresent();
-        return verified && nowMillis - readStartedMillis < RELAYED_POLL_MILLIS;
+    }
+
+    private boolean isRelayedPollDue() {
+        return timers.monotonicMillis() - readStartedMillis >= RELAYED_POLL_MILLIS;
+    }
+
+    // A state that may be old is used only where a relay has shown it to be the newest; otherwise the newest is read.
+    private void readPossiblyStale(Consumer<Boolean> then) {
+        reading = true;
+        readStartedMillis = timers.monotonicMillis();
+        Futures.whenDone(source.readPossiblyStale(), control, (read, failure) -> {
+            reading = false;
+            Optional<ClockReading> verifiedAt = state.snapshot().configVerifiedAt();
+            if (failure != null || verifiedAt.isEmpty() || !read.content().equals(relayedContent)) {
+                metrics.counter("store_stale_reads_unused_total").inc();
+                readOnce(then);
+                return;
+            }
+            metrics.counter("store_stale_reads_total").inc();
+            try {
+                apply(withNewestRollout(read), verifiedAt.get());
+            } finally {
+                then.accept(true);
+            }
+        });
+    }
+
+    // The roll-out record is no part of the compared content, and its revision must not go back.
+    private FleetReadResult withNewestRollout(FleetReadResult read) {
+        boolean hasOlder = read.routerEntries().stream().anyMatch(this::isOlderRollout);
+        if (!hasOlder) {
+            return read;
+        }
+        List<KeyValue> entries = read.routerEntries().stream()
+                .map(item -> isOlderRollout(item) ? rollout.orElse(item) : item)
+                .toList();
+        return new FleetReadResult(read.view(), read.content(), entries);
+    }
+
+    private boolean isOlderRollout(KeyValue item) {
+        return item.key().equals(RolloutRecord.KEY)
+                && rollout.filter(known -> known.revision() > item.revision()).isPresent();
     }
 
     private void readOnce(Consumer<Boolean> then) {
@@ -178,6 +230,7 @@
             reading = false;
             try {
                 if (failure == null) {
+                    newestReadMillis = timers.monotonicMillis();
                     apply(read, verifiedAt);
                 } else {
                     recordFailure(failure);
@@ -209,7 +262,6 @@
         }
         routerEntries = read.routerEntries();
         content = read.content();
-        appliedMillis = timers.monotonicMillis();
         FleetView next = merge(read.view());
         RolloutRecord record = rolloutRecord(read.routerEntries());
         next = new FleetView(next.config(), next.upstreams(), next.newestWeightsVersions(), record.reserved());
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
@@ -38,6 +38,9 @@
     private long lostResponseDelayMillis = -1;
     private boolean storeDown;
     private int maxConcurrentLoads;
+    private int newestReads;
+    private int staleReads;
+    private Optional<CompletableFuture<FleetReadResult>> staleResult = Optional.empty();
 
     FakeFleet(FakeControl control, FakeKeyValueStore store, int size) {
         this.control = control;
@@ -121,8 +124,31 @@
         return maxConcurrentLoads;
     }
 
+    int newestReads() {
+        return newestReads;
+    }
+
+    int staleReads() {
+        return staleReads;
+    }
+
+    /** From now on possibly stale reads return the present state, whatever changes. */
+    void freezeStaleReads() {
+        staleResult = Optional.of(read());
+    }
+
+    @Override
+    public CompletableFuture<FleetReadResult> readPossiblyStale() {
+        staleReads++;
+        return staleResult.orElseGet(() -> {
+            newestReads--;
+            return read();
+        });
+    }
+
     @Override
     public CompletableFuture<FleetReadResult> read() {
+        newestReads++;
         if (storeDown) {
             return CompletableFuture.failedFuture(
                     new AgatelaneException(FailureType.PLATFORM_UNAVAILABLE, "the store is down"));
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/GossipCluster.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/GossipCluster.java
@@ -4,6 +4,7 @@
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.node.api.FleetReadResult;
 import io.agatelane.node.api.FleetSource;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
@@ -73,16 +74,27 @@
             state = new FleetState(entry.vm());
             MetricRegistry metrics = new MetricRegistry();
             Random random = new Random(number);
-            FleetSource source = () -> cutFromStore
-                    ? CompletableFuture.failedFuture(
-                            new AgatelaneException(FailureType.PLATFORM_UNAVAILABLE, "cut off"))
-                    : fleet.read();
+            FleetSource source = new FleetSource() {
+                @Override
+                public CompletableFuture<FleetReadResult> read() {
+                    return cutFromStore ? cutOff() : fleet.read();
+                }
+
+                @Override
+                public CompletableFuture<FleetReadResult> readPossiblyStale() {
+                    return cutFromStore ? cutOff() : fleet.readPossiblyStale();
+                }
+            };
             poller = new StorePoller(source, state, routerControl, routerControl, random, POLL_MILLIS, metrics);
             registry = new RouterRegistry(store, poller, routerControl, routerControl, random, entry);
             gossip = new LoadGossip(state, poller, registry, routerControl, entry, 1, this::send, metrics);
             byAddress.put(entry.address(), this);
         }
 
+        private static CompletableFuture<FleetReadResult> cutOff() {
+            return CompletableFuture.failedFuture(new AgatelaneException(FailureType.PLATFORM_UNAVAILABLE, "cut off"));
+        }
+
         private void start() {
             poller.start();
             registry.start();
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
@@ -111,6 +111,29 @@
                 assertTrue(router.configAgeMillis() <= 2_000, router.entry.vm() + " " + router.configAgeMillis()));
     }
 
+    // Guards against periodic reads of the newest state by routers that a relay keeps current: they cost ten times as
+    // much as reads that may be stale.
+    @Test
+    public void routersBehindARelayReadPossiblyStaleStates() {
+        GossipCluster cluster = new GossipCluster(80);
+        int newest = cluster.fleet.newestReads();
+        int stale = cluster.fleet.staleReads();
+        cluster.control.advance(12_000);
+        assertTrue(cluster.fleet.newestReads() - newest <= 3 * 18, "newest " + (cluster.fleet.newestReads() - newest));
+        assertTrue(cluster.fleet.staleReads() - stale >= 77 * 2, "stale " + (cluster.fleet.staleReads() - stale));
+    }
+
+    // Guards against a router that acts on a state which its relay has seen replaced.
+    @Test
+    public void staleStateThatTheRelayDoesNotConfirmIsReadAgain() {
+        GossipCluster cluster = new GossipCluster(80);
+        cluster.fleet.freezeStaleReads();
+        cluster.fleet.setListed("e1", false);
+        cluster.control.advance(2_500);
+        cluster.routers.forEach(router ->
+                assertEquals(router.state.snapshot().view().upstreams().size(), 3, router.entry.vm()));
+    }
+
     // Guards against a change that the routers behind a relay see only with their own next read.
     @Test
     public void changesReachAllWithinTheBound() {
