Promise nothing for an upstream's 503 that states no refusal

The upstream's status was passed on although only a response with Not-Executed, or 421, states that nothing ran.

On such routes a response whose status would promise "not run" without that statement is now unusable: the caller gets 502. Other routes are unchanged.

--- a/agatelane-node/src/main/java/io/agatelane/node/api/CallerProtocol.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/CallerProtocol.java
@@ -22,6 +22,9 @@
      */
     int status(AgatelaneException failure);
 
+    /** Whether callers take a status as a promise that the request has not run and never will. */
+    boolean impliesNotExecuted(int status);
+
     /** Adds the response headers that describe a failure. */
     void encodeFailure(AgatelaneException failure, String requestId, HttpFields.Mutable headers);
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -306,7 +306,10 @@
         UpstreamLoad load = context.state().load(attempt.upstream());
         long now = context.timers().monotonicMillis();
         ResponseCheck check = new ResponseCheck(caller.id(), newStatus, headers, upstreamResponse);
-        Optional<String> unusable = check.unusable(committed ? Optional.of(upstreamHeaders) : Optional.empty());
+        boolean promisesNotExecuted =
+                !route.mayRunAgain() && context.ports().callerProtocol().impliesNotExecuted(newStatus);
+        Optional<String> unusable =
+                check.unusable(committed ? Optional.of(upstreamHeaders) : Optional.empty(), promisesNotExecuted);
         // A refusal of another request says nothing about this one, which the upstream may be running.
         if (upstreamResponse.notExecuted() && !check.isOfOtherRequest()) {
             recordRefusal(attempt, upstreamResponse);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ResponseCheck.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ResponseCheck.java
@@ -18,8 +18,13 @@
      * Returns why the response must not be passed on; empty when it may be.
      *
      * @param begun head of the response that has begun to be passed on and that this one is to continue
+     * @param promisesNotExecuted whether the caller would take the status as a promise that the request has not run,
+     *     which only a refusal of the upstream may make
      */
-    Optional<String> unusable(Optional<HttpFields> begun) {
+    Optional<String> unusable(Optional<HttpFields> begun, boolean promisesNotExecuted) {
+        if (promisesNotExecuted && !response.notExecuted()) {
+            return Optional.of("status " + status + " does not state whether the request has run");
+        }
         if (isOfOtherRequest()) {
             return Optional.of(
                     "the response belongs to request " + response.requestId().get());
