Refuse requests that crash upstreams for as long as they come

The retention now counts from when the request came last, for at most ten minutes after its last crash. Routers that refuse it repeat what they know every 5 s, and a router's reports from before its restart count.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
@@ -19,9 +19,15 @@
     /** Crashes after which a request is not run any more: two may be coincidence, and each one costs an upstream. */
     public static final int QUARANTINE_CRASHES = 3;
 
-    /** Time for which a request is stored after its last crash: callers have stopped retrying by then. */
+    /** Time for which a request is stored after it came last: callers have stopped retrying by then. */
     public static final long RETENTION_MILLIS = 60_000;
 
+    /** Longest time for which a request is stored after its last crash, so that a harmless one is run again. */
+    public static final long MAX_RETENTION_MILLIS = 600_000;
+
+    // A router that has started meanwhile, or has not seen the request, learns within this time that it is refused.
+    private static final long REPEAT_MILLIS = 5_000;
+
     private static final int MAX_ENTRIES = 2_000;
 
     private final long self;
@@ -38,7 +44,13 @@
 
     private static final class Suspect {
         private final Map<Long, Integer> crashesByReporter = new HashMap<>();
+        private long lastCrashMillis;
         private long expiresMillis;
+        private long reportedMillis;
+
+        private void renew(long nowMillis) {
+            expiresMillis = Math.min(nowMillis + RETENTION_MILLIS, lastCrashMillis + MAX_RETENTION_MILLIS);
+        }
 
         private int totalCrashes() {
             return crashesByReporter.values().stream()
@@ -65,15 +77,18 @@
     public synchronized void recordCrash(long fingerprint, long nowMillis) {
         Suspect suspect = suspect(fingerprint, nowMillis);
         suspect.crashesByReporter.merge(self, 1, Integer::sum);
+        suspect.reportedMillis = nowMillis;
         unsent.add(fingerprint);
     }
 
-    /** Merges the report of another router; reports of this router that come back are ignored. */
+    /** Merges a report, which may be one of this router, from before it was restarted. */
     public synchronized void mergeReport(CrashReport report, long nowMillis) {
-        if (report.reporter() != self) {
-            suspect(report.fingerprint(), nowMillis)
-                    .crashesByReporter
-                    .merge(report.reporter(), report.count(), Math::max);
+        Suspect known = suspects.get(report.fingerprint());
+        int knownCount = known == null ? 0 : known.crashesByReporter.getOrDefault(report.reporter(), 0);
+        if (report.count() > knownCount) {
+            suspect(report.fingerprint(), nowMillis).crashesByReporter.put(report.reporter(), report.count());
+        } else if (known != null) {
+            known.renew(nowMillis);
         }
     }
 
@@ -89,7 +104,15 @@
         suspects.values().removeIf(suspect -> suspect.expiresMillis <= nowMillis);
         empty = suspects.isEmpty();
         Suspect suspect = suspects.get(fingerprint);
-        return suspect != null && suspect.totalCrashes() >= QUARANTINE_CRASHES;
+        boolean quarantined = suspect != null && suspect.totalCrashes() >= QUARANTINE_CRASHES;
+        if (quarantined) {
+            suspect.renew(nowMillis);
+            if (nowMillis - suspect.reportedMillis >= REPEAT_MILLIS) {
+                suspect.reportedMillis = nowMillis;
+                unsent.add(fingerprint);
+            }
+        }
+        return quarantined;
     }
 
     /** Removes and returns the reports that have not been sent to the other routers yet. */
@@ -98,7 +121,8 @@
         for (long fingerprint : unsent) {
             Suspect suspect = suspects.get(fingerprint);
             if (suspect != null) {
-                reports.add(new CrashReport(fingerprint, self, suspect.crashesByReporter.get(self)));
+                suspect.crashesByReporter.forEach(
+                        (reporter, count) -> reports.add(new CrashReport(fingerprint, reporter, count)));
             }
         }
         unsent.clear();
@@ -107,7 +131,8 @@
 
     private Suspect suspect(long fingerprint, long nowMillis) {
         Suspect suspect = suspects.computeIfAbsent(fingerprint, unknown -> new Suspect());
-        suspect.expiresMillis = nowMillis + RETENTION_MILLIS;
+        suspect.lastCrashMillis = nowMillis;
+        suspect.renew(nowMillis);
         empty = false;
         return suspect;
     }
