Recognize events whose lines end with carriage returns

A carriage return now ends a line at once; a line feed right after it belongs to the same end, also when it arrives later. Four rows of EventScannerTest and eventsEndWithAnyLineEnd fail before; 20 tests of scanner and framer pass.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Optional;
+import java.util.regex.Pattern;
 
 /**
  * Splits a stream of server-sent events after complete events, so that another upstream can continue the stream after
@@ -14,6 +15,7 @@
  */
 public final class EventFramer {
     private static final String ID_FIELD = "id:";
+    private static final Pattern LINE_END = Pattern.compile("[\r\n]");
 
     private static final byte[] NO_BYTES = new byte[0];
 
@@ -83,7 +85,7 @@
     }
 
     private void findLastId(byte[] events) {
-        for (String line : new String(events, StandardCharsets.UTF_8).split("\n", -1)) {
+        for (String line : LINE_END.split(new String(events, StandardCharsets.UTF_8))) {
             if (line.startsWith(ID_FIELD)) {
                 lastEventId = line.substring(ID_FIELD.length()).trim();
             }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventScanner.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventScanner.java
@@ -1,7 +1,8 @@
 package io.agatelane.core.fleet.query;
 
 /**
- * Finds the ends of events in a stream of server-sent events, without storing any of it.
+ * Finds the ends of events in a stream of server-sent events, without storing any of it. Lines end with a line feed, a
+ * carriage return or both.
  *
  * <p>Not thread-safe.
  */
@@ -10,28 +11,42 @@
     private boolean isComment;
     private boolean isEventOpen;
     private boolean hasEvent;
+    private boolean isAfterReturn;
+    private boolean isAfterEvent;
 
     /** Scans the next bytes and returns the offset after the last event that ends in them, or 0 when none does. */
     public int scan(byte[] bytes) {
         int end = 0;
         for (int i = 0; i < bytes.length; i++) {
-            if (bytes[i] == '\n') {
-                if (isLineEmpty) {
-                    end = i + 1;
-                    hasEvent |= isEventOpen;
-                    isEventOpen = false;
-                } else {
-                    isEventOpen |= !isComment;
-                }
-                isLineEmpty = true;
-            } else if (bytes[i] != '\r') {
+            boolean isReturn = bytes[i] == '\r';
+            if (isAfterReturn && bytes[i] == '\n') {
+                // Second byte of a line end that was already counted.
+                end = isAfterEvent ? i + 1 : end;
+            } else if (isReturn || bytes[i] == '\n') {
+                end = endLine() ? i + 1 : end;
+            } else {
                 isComment = isLineEmpty ? bytes[i] == ':' : isComment;
                 isLineEmpty = false;
+                isAfterEvent = false;
             }
+            isAfterReturn = isReturn;
         }
         return end;
     }
 
+    // Returns whether the line was empty, which ends an event.
+    private boolean endLine() {
+        isAfterEvent = isLineEmpty;
+        if (isLineEmpty) {
+            hasEvent |= isEventOpen;
+            isEventOpen = false;
+        } else {
+            isEventOpen |= !isComment;
+        }
+        isLineEmpty = true;
+        return isAfterEvent;
+    }
+
     /** Whether the scanned bytes end in the middle of an event or of a line. */
     public boolean isInsideEvent() {
         return isEventOpen || !isLineEmpty;
@@ -47,5 +62,7 @@
         isLineEmpty = true;
         isEventOpen = false;
         hasEvent = false;
+        isAfterReturn = false;
+        isAfterEvent = false;
     }
 }
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/EventScannerTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/EventScannerTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 
+import io.agatelane.core.fleet.query.EventFramer;
 import io.agatelane.core.fleet.query.EventScanner;
 import java.nio.charset.StandardCharsets;
 import org.testng.annotations.DataProvider;
@@ -22,6 +23,10 @@
             {"id: 1\ndata: a\n\n: comm", true},
             {"id: 1\ndata: a\n: comment\n", true},
             {"data: a\n\ndata: b\r\n", true},
+            {"id: 1\rdata: a\r\r", false},
+            {"id: 1\rdata: a\r", true},
+            {"id: 1\r\ndata: a\r\n\r", false},
+            {"id: 1\ndata: a\n\rid: 2", true},
         };
     }
 
@@ -38,4 +43,16 @@
         }
         assertEquals(split.isInsideEvent(), isInside);
     }
+
+    // Guards against a stream whose lines end with carriage returns, of which no event is passed on before its end.
+    @Test
+    public void eventsEndWithAnyLineEnd() {
+        for (String lineEnd : new String[] {"\n", "\r\n", "\r"}) {
+            String event = "id: 7" + lineEnd + "data: a" + lineEnd + lineEnd;
+            EventFramer framer = new EventFramer();
+            byte[] ready = framer.append((event + "id: 8").getBytes(StandardCharsets.UTF_8));
+            assertEquals(new String(ready, StandardCharsets.UTF_8), event);
+            assertEquals(framer.lastEventId().orElseThrow(), "7");
+        }
+    }
 }
