Send each order to an engine on a connection of its own

The order went out on a kept connection whose end the client had not read. The roll-out then treats an order that cannot have arrived as possibly carried out.

orderToAnEngineThatHasEndedIsRefused keeps the engine's side of the first connection open: UNKNOWN without the change, REFUSED with it.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/orders/HttpEngineOrderClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/orders/HttpEngineOrderClient.java
@@ -21,6 +21,8 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.StringRequestContent;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
@@ -90,9 +92,12 @@
         }
     }
 
+    // A connection for each call: on a kept one whose end was not noticed yet, an order has an unknown outcome although
+    // it cannot have arrived.
     private Request request(Upstream engine, HttpMethod method, long timeoutMillis) {
         return client.newRequest(URI.create(engine.baseUrl() + "/orders"))
                 .method(method)
+                .headers(headers -> headers.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE))
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
--- a/agatelane-node/src/test/java/io/agatelane/node/io/orders/HttpEngineOrderClientTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/orders/HttpEngineOrderClientTest.java
@@ -9,8 +9,12 @@
 import io.agatelane.core.orders.DesiredState;
 import io.agatelane.core.orders.EngineState;
 import io.agatelane.core.orders.SendOutcome;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Handler;
@@ -80,6 +84,29 @@
         assertEquals(orders.sendOrder(engine, 7, desired).get(), SendOutcome.REFUSED);
     }
 
+    // Guards against an order that counts as possibly carried out because it was sent on a kept connection of an engine
+    // that had ended.
+    @Test
+    public void orderToAnEngineThatHasEndedIsRefused() throws Exception {
+        try (ServerSocket listener = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            Upstream ended = new Upstream(
+                    "e", "http://127.0.0.1:" + listener.getLocalPort(), "z", List.of("m"), "", 1, true, false);
+            CompletableFuture<SendOutcome> first = orders.sendOrder(ended, 7, new DesiredState("m", "v2", "", ""));
+            try (Socket connection = listener.accept()) {
+                connection
+                        .getOutputStream()
+                        .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+                assertEquals(first.get(), SendOutcome.IN_FORCE);
+                listener.close();
+                // The engine's side of the first connection stays open, as after a loss of power.
+                assertEquals(
+                        orders.sendOrder(ended, 7, new DesiredState("m", "v3", "", ""))
+                                .get(),
+                        SendOutcome.REFUSED);
+            }
+        }
+    }
+
     // Guards against a malformed or failed response that is read as a state, and against failures without a type.
     @Test
     public void readsStateAndReportsFailureType() throws Exception {
