Hold request bodies within a byte budget

Cause: bodies were read into the heap without a bound for all of them together.

Change: ByteBudget bounds the bytes of all bodies of a router, by default to 0.4 of the heap. A body's length is reserved before it is read, or as its parts arrive when it states none, and kept until the request has ended. Without room the request gets 503 (no-memory, not run) with a Retry-After that follows the time for which bodies are held, and the rest of its body is discarded. One eighth of the budget is kept for bodies of up to 64 KB. An allocation failure while a body is read gives the same 503. Bodies are written to upstreams in parts of 64 KB, because a thread keeps a direct buffer as large as the largest heap buffer it has written.

ByteBudgetTest, LargeBodiesTest, ForwardingTest and UpstreamAttemptTest pass.

Conclusion: fewer of such bodies are served at the same moment than before, but the others are told truthfully that they have not run.

--- a/agatelane-core/src/main/java/io/agatelane/core/failure/FailureType.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/failure/FailureType.java
@@ -18,6 +18,7 @@
     QUARANTINED_REQUEST("quarantined-request", 422, Executed.NO),
     ACCOUNT_LIMIT("account-limit", 429, Executed.NO),
     OVERLOADED("overloaded", 503, Executed.NO),
+    NO_MEMORY("no-memory", 503, Executed.NO),
     SHUTTING_DOWN("shutting-down", 503, Executed.NO),
     QUARANTINED_PROMPT("quarantined-prompt", 503, Executed.NO),
     NO_UPSTREAM("no-upstream", 503, Executed.NO),
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettings.java
@@ -28,6 +28,7 @@
  * @param prefillTokensPerMilli prompt tokens that an engine prefills in a millisecond
  * @param maxResponseHeadBytes largest head of a response
  * @param maxResponseBodyBytes largest body of an upstream's response
+ * @param heldBytes limits of the bytes that the router holds for its requests
  */
 public record FleetSettings(
         String vmName,
@@ -53,4 +54,5 @@
         double crossZoneMillis,
         double prefillTokensPerMilli,
         int maxResponseHeadBytes,
-        long maxResponseBodyBytes) {}
+        long maxResponseBodyBytes,
+        HeldBytes heldBytes) {}
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
@@ -43,6 +43,8 @@
     // Several hundred times the size of a long generated text.
     private static final long DEFAULT_RESPONSE_BODY_BYTES = 64L << 20;
     private static final long MAX_RESPONSE_BODY_BYTES = 1L << 40;
+    private static final long MIN_HELD_BYTES = 1 << 20;
+    private static final long MAX_HELD_BYTES = 1L << 40;
 
     private FleetSettingsReader() {}
 
@@ -63,6 +65,7 @@
         SettingsSection bounds = top.section("bounds");
         SettingsSection routing = top.section("routing");
         SettingsSection responses = top.section("responses");
+        SettingsSection memory = top.section("memory");
         InetSocketAddress storeAddress = store.address("address");
         FleetSettings settings = new FleetSettings(
                 vm.name("name"),
@@ -90,11 +93,22 @@
                         "prefillTokensPerMilli", DEFAULT_PREFILL_TOKENS_PER_MILLI, 1, MAX_PREFILL_TOKENS_PER_MILLI),
                 responses.integer(
                         "maxHeadBytes", DEFAULT_RESPONSE_HEAD_BYTES, MIN_RESPONSE_HEAD_BYTES, MAX_RESPONSE_HEAD_BYTES),
-                responses.number("maxBodyBytes", DEFAULT_RESPONSE_BODY_BYTES, 1, MAX_RESPONSE_BODY_BYTES));
-        List.of(top, vm, listen, store, bounds, routing, responses).forEach(SettingsSection::rejectUnknownFields);
+                responses.number("maxBodyBytes", DEFAULT_RESPONSE_BODY_BYTES, 1, MAX_RESPONSE_BODY_BYTES),
+                heldBytes(memory));
+        List.of(top, vm, listen, store, bounds, routing, responses, memory)
+                .forEach(SettingsSection::rejectUnknownFields);
         return settings;
     }
 
+    private static HeldBytes heldBytes(SettingsSection memory) {
+        HeldBytes defaults = HeldBytes.ofHeap();
+        return new HeldBytes(
+                memory.number("bodyBytes", defaults.bodyBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
+                memory.number("responseBytes", defaults.responseBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
+                memory.number("upstreamBodyBytes", defaults.upstreamBodyBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
+                memory.integer("unreadMillis", (int) defaults.unreadMillis(), 1, MAX_MILLIS));
+    }
+
     private static long millis(SettingsSection section, String field, double defaultSeconds, double marginSeconds) {
         double seconds = section.decimal(field, defaultSeconds, 0, MAX_SECONDS);
         return Math.round(Math.max(0, seconds - marginSeconds) * MILLIS_PER_SECOND);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
@@ -5,10 +5,10 @@
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.limits.ByteBudget;
 import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.fleet.FleetSnapshot;
-import io.agatelane.node.io.http.BodyReader;
 import io.agatelane.node.io.http.RequestDiscarder;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -35,10 +35,12 @@
     private static final long MAX_BODY_MILLIS = 30_000;
 
     private final ForwardContext context;
+    private final HeldBodies bodies;
     private final AtomicInteger inFlight = new AtomicInteger();
 
     public ForwardHandler(ForwardContext context) {
         this.context = context;
+        this.bodies = new HeldBodies(context.settings().heldBytes().bodyBytes(), context.timers(), context.metrics());
     }
 
     /** Number of requests that have no complete response yet. */
@@ -50,25 +52,34 @@
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedMillis = context.timers().monotonicMillis();
         inFlight.incrementAndGet();
-        Callback counted = Callback.from(callback, inFlight::decrementAndGet);
+        ByteBudget.Reservation reservation = bodies.open();
+        Callback counted = Callback.from(callback, () -> {
+            inFlight.decrementAndGet();
+            bodies.release(reservation);
+        });
         int maxBytes = context.state()
                 .snapshot()
                 .config()
                 .map(config -> config.limits().bodyBytes())
                 .orElse(DEFAULT_BODY_BYTES);
-        CompletableFuture<byte[]> received = BodyReader.read(request, maxBytes);
+        CompletableFuture<byte[]> received = bodies.read(request, maxBytes, reservation);
         limitTime(received, request);
         var unused = received.handle((body, thrown) -> {
             if (thrown == null) {
                 begin(request, response, counted, body, arrivedMillis);
             } else {
-                refuse(request, response, counted, AgatelaneException.from(thrown));
+                refuse(request, response, counted, readFailure(thrown));
             }
             return null;
         });
         return true;
     }
 
+    private AgatelaneException readFailure(Throwable thrown) {
+        AgatelaneException failure = AgatelaneException.from(thrown);
+        return failure.type() == FailureType.NO_MEMORY ? bodies.withRetryAfter(failure) : failure;
+    }
+
     // A request that arrives only after its deadline need not run; each byte of it starts the idle time-out again.
     private void limitTime(CompletableFuture<byte[]> received, Request request) {
         if (received.isDone()) {
@@ -110,7 +121,7 @@
             Route route = route(config, request);
             Optional<FleetAccount> account = account(config, route, caller);
             new ForwardCall(context, request, response, callback, caller, route, account, body, arrivedMillis).start();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | OutOfMemoryError e) {
             refuse(request, response, callback, AgatelaneException.from(e));
         }
     }
@@ -132,9 +143,9 @@
         return account;
     }
 
-    // The rest of a body that is too large is discarded, so that the caller gets the response before the close.
+    // The rest of a body that is not taken is discarded, so that the caller gets the response before the close.
     private Callback afterBody(Request request, Callback callback, AgatelaneException failure) {
-        return failure.type() == FailureType.BODY_TOO_LARGE
+        return failure.type() == FailureType.BODY_TOO_LARGE || failure.type() == FailureType.NO_MEMORY
                 ? Callback.from(
                         () -> RequestDiscarder.discard(request, context.timers(), MAX_DISCARD_MILLIS, callback),
                         callback::failed)
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RouterResponses.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RouterResponses.java
@@ -15,8 +15,11 @@
 
 /** Writes responses that the router itself produces. */
 final class RouterResponses {
-    private static final Set<FailureType> BODY_UNREAD =
-            EnumSet.of(FailureType.BODY_TOO_LARGE, FailureType.MALFORMED_REQUEST, FailureType.REQUEST_TIMEOUT);
+    private static final Set<FailureType> BODY_UNREAD = EnumSet.of(
+            FailureType.BODY_TOO_LARGE,
+            FailureType.MALFORMED_REQUEST,
+            FailureType.REQUEST_TIMEOUT,
+            FailureType.NO_MEMORY);
 
     private RouterResponses() {}
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -11,8 +11,10 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -43,6 +45,9 @@
 
     // The caller's content type is forwarded with its other headers.
     private static final String NO_CONTENT_TYPE = null;
+    // A thread that writes bytes of the heap keeps a direct buffer of the same size; a whole body would take several MB
+    // of memory outside the heap for each thread.
+    private static final int WRITE_BYTES = 64 << 10;
 
     private final ForwardContext context;
     private final UpstreamChoice choice;
@@ -88,11 +93,20 @@
                 })
                 .onRequestBegin(ignored -> requestBegun.set(true));
         if (hasBody) {
-            request.body(new BytesRequestContent(NO_CONTENT_TYPE, body));
+            request.body(new ByteBufferRequestContent(NO_CONTENT_TYPE, parts(body)));
         }
         request.send(this);
     }
 
+    private static List<ByteBuffer> parts(byte[] body) {
+        List<ByteBuffer> parts = new ArrayList<>();
+        for (int start = 0; start < body.length; start += WRITE_BYTES) {
+            parts.add(ByteBuffer.wrap(body, start, Math.min(WRITE_BYTES, body.length - start))
+                    .slice());
+        }
+        return parts;
+    }
+
     // The client's method for a path takes what follows two slashes at its start for a host.
     private Request requestTo(String address, String pathQuery) {
         String base = "http://" + address;
