Apply the limit of request heads to all connections and to the client

Cause: the HTTP client sends heads of at most about 8 KB, so longer ones got 502 and counted as a failure of the upstream although the operator allowed them.

Change: the client may send heads as long as callers may, and 8 KB of headers that the router adds. The parser of a connection has a limit of at least 64 KB; the operator's current limit is compared with each head after it was parsed (RequestHeadLimit), and a longer one gets 431 with a close. A limit above 64 KB applies in full only to connections that open after it was read.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
@@ -29,8 +29,16 @@
     private static final int HEADS_PER_RESPONSE = 2;
     private static final int REQUESTS_PER_CONNECTION = 1;
 
+    // Headers that the router adds for the upstream, such as the account, the cache salt and the last event's id.
+    private static final int ADDED_HEADER_BYTES = 8 << 10;
+
     private FleetHttpClients() {}
 
+    /** Lets a client send heads as long as callers may send them. The longer buffer is allocated only for long heads. */
+    static void allowRequestHeads(HttpClient client, int callerHeadBytes) {
+        client.setMaxRequestHeadersSize(callerHeadBytes + ADDED_HEADER_BYTES);
+    }
+
     /**
      * Creates a client that opens a new connection for each request.
      *
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -176,7 +176,10 @@
     }
 
     private void applyLimits() {
-        state.snapshot().config().ifPresent(config -> server.apply(config.limits()));
+        state.snapshot().config().ifPresent(config -> {
+            FleetHttpClients.allowRequestHeads(context.client(), config.limits().headerBytes());
+            server.apply(config.limits());
+        });
     }
 
     private boolean isReady() {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetServer.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetServer.java
@@ -38,6 +38,7 @@
     private final HttpConfiguration callerConfiguration = configuration();
     private final ServerConnector callers;
     private final TimerService timers;
+    private final RequestHeadLimit headLimit;
     private volatile long headTimeoutMillis = DEFAULT_HEAD_TIMEOUT_MILLIS;
 
     FleetServer(
@@ -47,6 +48,8 @@
             Map<InetSocketAddress, Handler> handlers,
             InetSocketAddress callerAddress) {
         this.timers = timers;
+        headLimit = new RequestHeadLimit(timers);
+        callerConfiguration.setRequestHeaderSize(headLimit.parserBytes());
         server = new Server(threads, scheduler, null);
         callers = callerConnector();
         bind(callers, callerAddress);
@@ -58,7 +61,7 @@
                 server.addConnector(connector);
             }
         }
-        server.setHandler(new AddressDispatcher(handlers));
+        server.setHandler(new AddressDispatcher(handlers, headLimit));
     }
 
     private static void bind(ServerConnector connector, InetSocketAddress address) {
@@ -94,9 +97,10 @@
         return configuration;
     }
 
-    /** Applies the operator's limits to new connections. */
+    /** Applies the operator's limits: the size of heads to all connections, the idle time to new ones. */
     void apply(CallerLimits limits) {
-        callerConfiguration.setRequestHeaderSize(limits.headerBytes());
+        headLimit.set(limits.headerBytes());
+        callerConfiguration.setRequestHeaderSize(headLimit.parserBytes());
         headTimeoutMillis = limits.headerTimeoutMillis();
         callers.setIdleTimeout(Math.round(limits.idleTimeoutMillis() * IDLE_TIMEOUT_FACTOR));
     }
@@ -119,9 +123,11 @@
 
     private static final class AddressDispatcher extends Handler.Abstract.NonBlocking {
         private final Map<InetSocketAddress, Handler> handlers;
+        private final RequestHeadLimit headLimit;
 
-        private AddressDispatcher(Map<InetSocketAddress, Handler> handlers) {
+        private AddressDispatcher(Map<InetSocketAddress, Handler> handlers, RequestHeadLimit headLimit) {
             this.handlers = Map.copyOf(handlers);
+            this.headLimit = headLimit;
         }
 
         @Override
@@ -136,20 +142,21 @@
                     : handler.handle(request, response, callback);
         }
 
-        private static boolean handle(
+        private boolean handle(
                 Handler handler, CallerEndPoint caller, Request request, Response response, Callback callback)
                 throws Exception {
             if (!caller.startRequest()) {
                 callback.failed(new QuietException.Exception("the head of the request came too late"));
                 return true;
             }
-            return handler.handle(request, response, new Callback.Nested(callback) {
+            Callback ending = new Callback.Nested(callback) {
                 @Override
                 public void succeeded() {
                     caller.endRequest();
                     super.succeeded();
                 }
-            });
+            };
+            return headLimit.refuse(request, response, ending) || handler.handle(request, response, ending);
         }
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -69,7 +69,8 @@
         return chooser;
     }
 
-    HttpClient client() {
+    /** The client that sends requests to upstreams. */
+    public HttpClient client() {
         return client;
     }
 
