Pass on a whole answer although the request was not sent to its end

Cause: an attempt ended only when the HTTP client had sent the request and received the response.

Change: an attempt ends with its response. If the body is not sent by then, the connection is closed.

Measured: EarlyAnswerTest failed before and passes.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -19,6 +19,7 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
 /**
@@ -56,6 +57,7 @@
     private final Listener listener;
     private final UpstreamLoad load;
     private final AtomicBoolean requestBegun = new AtomicBoolean();
+    private final AtomicBoolean requestSent = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
     private Request request;
     private long startedMillis;
@@ -91,7 +93,8 @@
                     fields.clear();
                     fields.add(headers);
                 })
-                .onRequestBegin(ignored -> requestBegun.set(true));
+                .onRequestBegin(ignored -> requestBegun.set(true))
+                .onRequestSuccess(ignored -> requestSent.set(true));
         if (hasBody) {
             request.body(new ByteBufferRequestContent(NO_CONTENT_TYPE, parts(body)));
         }
@@ -206,6 +209,18 @@
         listener.onBody(this, bytes, demander);
     }
 
+    // The response is whole, whether or not the request was sent to its end: an upstream may answer before it has read
+    // the body, and never read it.
+    @Override
+    public void onSuccess(Response response) {
+        if (!HttpStatus.isInterim(response.getStatus()) && recordEnd()) {
+            listener.onComplete(this);
+            if (!requestSent.get()) {
+                request.abort(new ConnectException("the response has ended"));
+            }
+        }
+    }
+
     @Override
     public void onComplete(Result result) {
         if (result.isFailed()) {
