Report a failed allocation in the HTTP parser as not run

Cause: the server takes any failure of its parser for a malformed request (400), also an OutOfMemoryError.

Change: AllocationFailureHandler answers such a request with 503 and Retry-After. BodyReader looks for an allocation failure in the whole chain of causes.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetServer.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetServer.java
@@ -4,6 +4,7 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.CallerLimits;
 import io.agatelane.node.api.TimerService;
+import io.agatelane.node.io.http.AllocationFailureHandler;
 import io.agatelane.node.io.http.CallerEndPoint;
 import java.net.InetSocketAddress;
 import java.nio.channels.SelectionKey;
@@ -61,6 +62,7 @@
                 server.addConnector(connector);
             }
         }
+        server.setErrorHandler(new AllocationFailureHandler());
         server.setHandler(new AddressDispatcher(handlers, headLimit));
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/BodyReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/BodyReader.java
@@ -118,7 +118,7 @@
         if (known.type() != FailureType.INTERNAL) {
             return known;
         }
-        if (known.getCause() instanceof OutOfMemoryError) {
+        if (AllocationFailureHandler.isCausedByAllocation(known)) {
             return noMemory();
         }
         return new AgatelaneException(
