Bound the bytes held for slow callers and for upstreams

Cause: a caller that stopped reading held its upstream until the deadline of its request; the server's idle time-out does not end a request that is being handled (not within 30 s in SlowReaderTest). Pieces of events that are kept back, up to 1 MB for each resumable stream, were not bounded for all streams together. Nothing bounded the bytes of bodies in flight to one upstream.

Change: UnreadWatch breaks a response off visibly when its caller takes no byte for memory.unreadMillis (5 s). Progress is measured by bytes that the socket takes, after another try to write, so that a slow but steady reader is not cut off. The bytes of responses that callers have not taken are counted in a budget (memory.responseBytes). KeyedByteBudget bounds the bodies of unfinished requests to each upstream (memory.upstreamBodyBytes, 32 MB); a full one is not chosen, and a request without another one gets 503.

Measured: back pressure was there before: a caller that does not read kept an endless response below the limit of 8 MB. SlowReaderTest failed before (the upstream was not released within 30 s) and passes; its slow steady reader takes 7 MB with pauses. LargeBodiesTest and KeyedByteBudgetTest pass.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
@@ -67,6 +67,11 @@
         scanner.restart();
     }
 
+    /** Number of bytes that are buffered. */
+    public int pendingBytes() {
+        return pending.length;
+    }
+
     /** Whether the bytes up to now end in the middle of an event. */
     public boolean isInsideEvent() {
         return scanner.isInsideEvent();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -79,7 +79,8 @@
         FleetPorts ports =
                 adapter.open(controlClient, requestClient, settings.storeAddress(), settings.storeTimeoutMillis());
         UpstreamChooser chooser = new UpstreamChooser(new ChoiceSettings(settings.zone(), settings.crossZoneMillis()));
-        context = new ForwardContext(settings, ports, state, chooser, requestClient, control, metrics);
+        context = new ForwardContext(
+                settings, ports, state, chooser, requestClient, control, metrics, settings.heldBytes());
         forward = new ForwardHandler(context);
         server = new FleetServer(
                 threads,
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -26,7 +26,6 @@
 import io.agatelane.node.util.EventLog;
 import java.io.EOFException;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -75,6 +74,7 @@
     private final Set<String> tried = new HashSet<>();
     private final int priority;
     private final RelayedBody relayedBody;
+    private final UnreadWatch unreadWatch;
     private final UpstreamSelection selection;
     private final List<Long> sharedParts;
 
@@ -107,7 +107,6 @@
         this.context = context;
         this.request = request;
         this.response = response;
-        this.callback = callback;
         this.caller = caller;
         this.route = route;
         this.account = account;
@@ -124,7 +123,9 @@
                         prompt.inputTokens() / context.prefillSpeed(service).tokensPerMilli(),
                         route.latencyObjectiveMillis()))
                 .orElse(0);
-        this.relayedBody = new RelayedBody(route, context.settings().maxResponseBodyBytes());
+        this.relayedBody = new RelayedBody(route, context);
+        this.callback = Callback.from(callback, relayedBody::release);
+        this.unreadWatch = new UnreadWatch(context, request, response, this::onCallerNotReading);
         this.sharedParts = caller.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
                 .map(PartSuspects::fingerprint)
                 .toList();
@@ -154,8 +155,9 @@
             FleetSnapshot snapshot = context.state().snapshot();
             checkConfigAge(snapshot);
             checkCrashes(now);
+            Set<String> excluded = UpstreamRoom.excluded(context, snapshot, service, caller.id(), tried, body.length);
             Optional<UpstreamSelection.Selected> selected =
-                    selection.select(snapshot, tried, attempts == 0, isWaiting, now, leftMillis);
+                    selection.select(snapshot, excluded, attempts == 0, isWaiting, now, leftMillis);
             if (selected.isEmpty()) {
                 awaitRoom(now);
                 return;
@@ -254,10 +256,7 @@
     }
 
     private void startAttempt(FleetSnapshot snapshot, UpstreamChoice choice, long leftMillis) {
-        tried.add(choice.candidate().upstream().key());
-        prefixLocator
-                .flatMap(locator -> locator.prefillPlacement(choice.candidate()))
-                .ifPresent(context.state().placements()::recordLocal);
+        String key = choice.candidate().upstream().key();
         HttpFields.Mutable headers = HttpFields.build();
         context.ports().upstreamProtocol().encode(request.getHeaders(), upstreamCall(choice, leftMillis), headers);
         boolean hasBody =
@@ -266,6 +265,15 @@
                 ? caller.prompt().map(EngineRoom::tokens).orElse(0L)
                 : 0;
         RequestWork work = new RequestWork(priority, choice.prefillMillis(), memoryTokens);
+        if (!context.upstreamBytes().tryTake(key, body.length)) {
+            // Another request has taken the room since the choice.
+            dispatch();
+            return;
+        }
+        tried.add(key);
+        prefixLocator
+                .flatMap(locator -> locator.prefillPlacement(choice.candidate()))
+                .ifPresent(context.state().placements()::recordLocal);
         UpstreamAttempt attempt = new UpstreamAttempt(context, choice, work, attempts + 1, this);
         current = attempt;
         ForwardLog.sent(context, caller.id(), attempt.number(), choice, snapshot);
@@ -408,7 +416,7 @@
             return;
         }
         commit();
-        response.write(false, ByteBuffer.wrap(ready), Callback.from(more, failure -> onCallerGone()));
+        unreadWatch.write(false, ready, Callback.from(more, failure -> onCallerGone()));
     }
 
     private void commit() {
@@ -445,7 +453,7 @@
         commit();
         byte[] rest = relayedBody.takeRemaining();
         finish("answered");
-        response.write(true, ByteBuffer.wrap(rest), callback);
+        unreadWatch.write(true, rest, callback);
     }
 
     @Override
@@ -522,6 +530,17 @@
         fail(new AgatelaneException(FailureType.UPSTREAM_TIMEOUT, "the deadline of the request has passed"));
     }
 
+    private void onCallerNotReading() {
+        synchronized (this) {
+            ForwardLog.callerNotReading(context, caller.id(), !done);
+            if (!done) {
+                fail(new AgatelaneException(FailureType.UPSTREAM_FAILED, "the caller does not read its response"));
+            }
+        }
+        // Also ends the last write of a response that the upstream has ended.
+        unreadWatch.close();
+    }
+
     private synchronized void onCallerGone() {
         if (done) {
             return;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -4,9 +4,12 @@
 import io.agatelane.core.fleet.command.PrefillSpeed;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
+import io.agatelane.core.limits.ByteBudget;
+import io.agatelane.core.limits.KeyedByteBudget;
 import io.agatelane.node.api.FleetPorts;
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.cfg.FleetSettings;
+import io.agatelane.node.cfg.HeldBytes;
 import io.agatelane.node.fleet.FleetState;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -26,6 +29,8 @@
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
+    private final ByteBudget responseBytes;
+    private final KeyedByteBudget upstreamBytes;
     private volatile boolean draining;
     private volatile boolean refusing;
 
@@ -37,7 +42,8 @@
             UpstreamChooser chooser,
             HttpClient client,
             TimerService timers,
-            MetricRegistry metrics) {
+            MetricRegistry metrics,
+            HeldBytes heldBytes) {
         this.settings = settings;
         this.ports = ports;
         this.state = state;
@@ -45,6 +51,10 @@
         this.client = client;
         this.timers = timers;
         this.metrics = metrics;
+        responseBytes = new ByteBudget(heldBytes.responseBytes());
+        upstreamBytes = new KeyedByteBudget(heldBytes.upstreamBodyBytes());
+        metrics.gauge("response_bytes_held", () -> responseBytes::heldBytes);
+        metrics.gauge("upstream_body_bytes_largest", () -> upstreamBytes::largestHeldBytes);
     }
 
     /** Applies changed settings to requests that come from now on. */
@@ -82,6 +92,16 @@
         return metrics;
     }
 
+    /** Bytes of responses that have been read from upstreams and that callers have not taken yet. */
+    ByteBudget responseBytes() {
+        return responseBytes;
+    }
+
+    /** Bytes of the bodies of unfinished requests, by upstream. */
+    KeyedByteBudget upstreamBytes() {
+        return upstreamBytes;
+    }
+
     /** Takes one retry to a service from its budget; false when the budget is used up. */
     boolean tryTakeRetry(String service, long nowMillis) {
         return budget(service).tryTake(nowMillis, state.routerCount());
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -92,6 +92,29 @@
         context.metrics().counter("upstream_pauses_total").inc();
     }
 
+    /** Logs that a caller has stopped reading its response, whose connection is closed therefore. */
+    static void callerNotReading(ForwardContext context, String id, boolean upstreamHeld) {
+        LOG.event("caller_not_reading")
+                .with("id", id)
+                .with("unread_ms", context.settings().heldBytes().unreadMillis())
+                .with("upstream_held", upstreamHeld)
+                .with("action", "closed")
+                .info();
+        context.metrics().counter("callers_not_reading_total").inc();
+    }
+
+    /** Logs that upstreams get no request because of the bytes that this router has in flight to them. */
+    static void upstreamBytesFull(ForwardContext context, String id, long upstreams, int bodyBytes) {
+        LOG.event("upstream_bytes_full")
+                .with("id", id)
+                .with("upstreams", upstreams)
+                .with("body_bytes", bodyBytes)
+                .with("limit", context.settings().heldBytes().upstreamBodyBytes())
+                .with("action", "not_sent_to_these")
+                .info();
+        context.metrics().counter("upstream_bytes_full_total").inc();
+    }
+
     /** Logs the end of one attempt. */
     static void attemptEnded(String id, int attempt, String upstream, String outcome, String detail) {
         LOG.event("send_ended")
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
@@ -6,6 +6,8 @@
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.query.EventFramer;
 import io.agatelane.core.fleet.query.EventScanner;
+import io.agatelane.core.limits.ByteBudget;
+import io.agatelane.node.api.TimerService;
 import java.util.Locale;
 import java.util.Optional;
 import org.eclipse.jetty.http.HttpFields;
@@ -20,6 +22,8 @@
     private static final byte[] NO_BYTES = new byte[0];
 
     private final long maxBytes;
+    private final ByteBudget.Reservation held;
+    private final TimerService timers;
     private final boolean isStream;
     private final Optional<EventFramer> framer;
     private final EventScanner scanner = new EventScanner();
@@ -27,8 +31,10 @@
     private boolean isSuccess;
     private long totalBytes;
 
-    RelayedBody(Route route, long maxBytes) {
-        this.maxBytes = maxBytes;
+    RelayedBody(Route route, ForwardContext context) {
+        maxBytes = context.settings().maxResponseBodyBytes();
+        held = context.responseBytes().open();
+        timers = context.timers();
         isStream = route.kind() == RequestKind.STREAM;
         framer = route.resumable() ? Optional.of(new EventFramer()) : Optional.empty();
     }
@@ -42,7 +48,8 @@
     /**
      * Adds bytes of the upstream and returns those that may be passed on.
      *
-     * @throws AgatelaneException with {@code UPSTREAM_FAILED} when the body or an event of it is too large
+     * @throws AgatelaneException with {@code UPSTREAM_FAILED} when the body or an event of it is too large, or when all
+     *     responses together hold too many bytes
      */
     byte[] append(byte[] bytes) {
         totalBytes += bytes.length;
@@ -51,14 +58,30 @@
                     FailureType.UPSTREAM_FAILED, "the response is larger than " + maxBytes + " bytes");
         }
         if (framer.isPresent()) {
-            return framer.get().append(bytes);
+            byte[] events = framer.get().append(bytes);
+            hold((long) events.length + framer.get().pendingBytes());
+            return events;
         }
         if (isStream) {
             scanner.scan(bytes);
         }
+        hold(bytes.length);
         return bytes;
     }
 
+    // The bytes of the last part have been taken by now: a part is read only after the write of the one before it.
+    private void hold(long bytes) {
+        if (!held.tryResize(bytes, timers.monotonicMillis())) {
+            throw new AgatelaneException(
+                    FailureType.UPSTREAM_FAILED, "the router has no memory for the bytes that callers have not taken");
+        }
+    }
+
+    /** Gives up the bytes; to be called when the caller has the whole response or gets no more of it. */
+    void release() {
+        held.release(timers.monotonicMillis());
+    }
+
     /** Removes and returns the bytes that were held back, for the end of a complete response. */
     byte[] takeRemaining() {
         return framer.map(EventFramer::takeRemaining).orElse(NO_BYTES);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -61,6 +61,7 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private Request request;
     private long startedMillis;
+    private int bodyBytes;
     private volatile boolean responseStarted;
 
     UpstreamAttempt(ForwardContext context, UpstreamChoice choice, RequestWork work, int number, Listener listener) {
@@ -72,8 +73,9 @@
         this.load = context.state().load(choice.candidate().upstream());
     }
 
-    /** Sends the request. */
+    /** Sends the request. Its body must have been counted in the bytes in flight to the upstream. */
     void start(String method, String pathQuery, HttpFields headers, byte[] body, boolean hasBody) {
+        bodyBytes = body.length;
         FleetUpstream upstream = choice.candidate().upstream();
         startedMillis = context.timers().monotonicMillis();
         load.recordSent(this, work, startedMillis);
@@ -240,6 +242,7 @@
         boolean isFirst = ended.compareAndSet(false, true);
         if (isFirst) {
             load.recordEnded(this, work);
+            context.upstreamBytes().release(upstream().key(), bodyBytes);
         }
         return isFirst;
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
@@ -8,9 +8,11 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.LongSupplier;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Scheduler;
 
@@ -28,6 +30,7 @@
     private final LongSupplier headTimeoutMillis;
     private final long creditBytes;
     private final ReadCredit readCredit;
+    private final AtomicLong writtenBytes = new AtomicLong();
     private Phase phase = Phase.BETWEEN_REQUESTS;
     private Subscription headTimer = () -> {};
 
@@ -74,6 +77,31 @@
         return filled;
     }
 
+    @Override
+    public boolean flush(ByteBuffer... buffers) throws IOException {
+        long before = BufferUtil.remaining(buffers);
+        try {
+            return super.flush(buffers);
+        } finally {
+            writtenBytes.addAndGet(before - BufferUtil.remaining(buffers));
+        }
+    }
+
+    /** Number of bytes that the operating system has taken for the caller. */
+    public long writtenBytes() {
+        return writtenBytes.get();
+    }
+
+    /**
+     * Continues a pending write if there is room for any byte of it. The selector reports room only when a third of the
+     * send buffer is free, which takes a slow reader long.
+     */
+    public void tryWrite() {
+        if (getWriteFlusher().isPending()) {
+            getWriteFlusher().completeWrite();
+        }
+    }
+
     private synchronized void startHead() {
         if (phase == Phase.BETWEEN_REQUESTS) {
             phase = Phase.HEAD;
--- a/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.node.api.UpstreamResponse;
+import io.agatelane.node.cfg.HeldBytes;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fleet.FleetState;
 import java.io.BufferedReader;
@@ -90,8 +91,8 @@
     }
 
     private UpstreamAttempt attempt(String address, UpstreamAttempt.Listener listener) {
-        ForwardContext context =
-                new ForwardContext(null, null, state, null, client, new FakeControl(), new MetricRegistry());
+        ForwardContext context = new ForwardContext(
+                null, null, state, null, client, new FakeControl(), new MetricRegistry(), HeldBytes.ofHeap());
         FleetUpstream upstream = new FleetUpstream("i-1", 1, "x", address, "z", 4, false, Map.of());
         Candidate candidate = new Candidate(upstream, UpstreamEstimate.IDLE, 0);
         return new UpstreamAttempt(
