--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -79,7 +79,8 @@
         FleetPorts ports =
                 adapter.open(controlClient, requestClient, settings.storeAddress(), settings.storeTimeoutMillis());
         UpstreamChooser chooser = new UpstreamChooser(new ChoiceSettings(settings.zone(), settings.crossZoneMillis()));
-        context = new ForwardContext(settings, ports, state, chooser, requestClient, control, metrics);
+        context = new ForwardContext(
+                settings, ports, state, chooser, requestClient, control, metrics, settings.heldBytes());
         forward = new ForwardHandler(context);
         server = new FleetServer(
                 threads,
@@ -176,7 +177,10 @@
     }
 
     private void applyLimits() {
-        state.snapshot().config().ifPresent(config -> server.apply(config.limits()));
+        state.snapshot().config().ifPresent(config -> {
+            FleetHttpClients.allowRequestHeads(context.client(), config.limits().headerBytes());
+            server.apply(config.limits());
+        });
     }
 
     private boolean isReady() {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -11,12 +11,15 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
 /**
@@ -43,6 +46,9 @@
 
     // The caller's content type is forwarded with its other headers.
     private static final String NO_CONTENT_TYPE = null;
+    // A thread that writes bytes of the heap keeps a direct buffer of the same size; a whole body would take several MB
+    // of memory outside the heap for each thread.
+    private static final int WRITE_BYTES = 64 << 10;
 
     private final ForwardContext context;
     private final UpstreamChoice choice;
@@ -51,9 +57,11 @@
     private final Listener listener;
     private final UpstreamLoad load;
     private final AtomicBoolean requestBegun = new AtomicBoolean();
+    private final AtomicBoolean requestSent = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
     private Request request;
     private long startedMillis;
+    private int bodyBytes;
     private volatile boolean responseStarted;
 
     UpstreamAttempt(ForwardContext context, UpstreamChoice choice, RequestWork work, int number, Listener listener) {
@@ -65,8 +73,9 @@
         this.load = context.state().load(choice.candidate().upstream());
     }
 
-    /** Sends the request. */
+    /** Sends the request. Its body must have been counted in the bytes in flight to the upstream. */
     void start(String method, String pathQuery, HttpFields headers, byte[] body, boolean hasBody) {
+        bodyBytes = body.length;
         FleetUpstream upstream = choice.candidate().upstream();
         startedMillis = context.timers().monotonicMillis();
         load.recordSent(this, work, startedMillis);
@@ -86,13 +95,23 @@
                     fields.clear();
                     fields.add(headers);
                 })
-                .onRequestBegin(ignored -> requestBegun.set(true));
+                .onRequestBegin(ignored -> requestBegun.set(true))
+                .onRequestSuccess(ignored -> requestSent.set(true));
         if (hasBody) {
-            request.body(new BytesRequestContent(NO_CONTENT_TYPE, body));
+            request.body(new ByteBufferRequestContent(NO_CONTENT_TYPE, parts(body)));
         }
         request.send(this);
     }
 
+    private static List<ByteBuffer> parts(byte[] body) {
+        List<ByteBuffer> parts = new ArrayList<>();
+        for (int start = 0; start < body.length; start += WRITE_BYTES) {
+            parts.add(ByteBuffer.wrap(body, start, Math.min(WRITE_BYTES, body.length - start))
+                    .slice());
+        }
+        return parts;
+    }
+
     // The client's method for a path takes what follows two slashes at its start for a host.
     private Request requestTo(String address, String pathQuery) {
         String base = "http://" + address;
@@ -192,6 +211,18 @@
         listener.onBody(this, bytes, demander);
     }
 
+    // The response is whole, whether or not the request was sent to its end: an upstream may answer before it has read
+    // the body, and never read it.
+    @Override
+    public void onSuccess(Response response) {
+        if (!HttpStatus.isInterim(response.getStatus()) && recordEnd()) {
+            listener.onComplete(this);
+            if (!requestSent.get()) {
+                request.abort(new ConnectException("the response has ended"));
+            }
+        }
+    }
+
     @Override
     public void onComplete(Result result) {
         if (result.isFailed()) {
@@ -211,6 +242,7 @@
         boolean isFirst = ended.compareAndSet(false, true);
         if (isFirst) {
             load.recordEnded(this, work);
+            context.upstreamBytes().release(upstream().key(), bodyBytes);
         }
         return isFirst;
     }
