Split the guard against crashing requests from ForwardCall

CrashGuard checks and records what a request and the parts of its prompt have done to upstreams; behavior does not change.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -7,12 +7,9 @@
 import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.PriorityLevels;
-import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
-import io.agatelane.core.fleet.command.CrashSuspects;
-import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EngineRoom;
@@ -23,13 +20,11 @@
 import io.agatelane.node.api.UpstreamCall;
 import io.agatelane.node.api.UpstreamResponse;
 import io.agatelane.node.fleet.FleetSnapshot;
-import io.agatelane.node.fleet.FleetState;
 import io.agatelane.node.io.http.ReadCredit;
 import io.agatelane.node.util.EventLog;
 import java.io.EOFException;
 import java.io.IOException;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
@@ -78,7 +73,7 @@
     private final RelayedBody relayedBody;
     private final UnreadWatch unreadWatch;
     private final UpstreamSelection selection;
-    private final List<Long> sharedParts;
+    private final CrashGuard crashGuard;
 
     private Optional<PrefixLocator> prefixLocator = Optional.empty();
     private Optional<String> saveTo = Optional.empty();
@@ -133,9 +128,7 @@
         this.relayedBody = new RelayedBody(route, context);
         this.callback = Callback.from(callback, relayedBody::release);
         this.unreadWatch = new UnreadWatch(context, request, response, this::onCallerNotReading);
-        this.sharedParts = caller.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
-                .map(PartSuspects::fingerprint)
-                .toList();
+        this.crashGuard = new CrashGuard(context, request, caller, account, body);
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
     }
 
@@ -161,7 +154,7 @@
             }
             FleetSnapshot snapshot = context.state().snapshot();
             checkConfigAge(snapshot);
-            checkCrashes(now);
+            crashGuard.check(now);
             Set<String> excluded = UpstreamRoom.excluded(context, snapshot, service, caller.id(), tried, body.length);
             Optional<UpstreamSelection.Selected> selected =
                     selection.select(snapshot, excluded, attempts == 0, isWaiting, now, leftMillis);
@@ -242,26 +235,6 @@
         }
     }
 
-    private void checkCrashes(long now) {
-        CrashSuspects suspects = context.state().suspects();
-        if (!suspects.isEmpty() && suspects.isQuarantined(fingerprint(), now)) {
-            context.metrics().counter("requests_quarantined_total").inc();
-            throw new AgatelaneException(
-                    FailureType.QUARANTINED_REQUEST, "upstreams have crashed while they ran this request");
-        }
-        OptionalLong quarantineMillis = context.state().partSuspects().quarantineMillis(sharedParts, now);
-        if (quarantineMillis.isPresent()) {
-            context.metrics().counter("prompts_quarantined_total").inc();
-            throw new AgatelaneException(
-                            FailureType.QUARANTINED_PROMPT, "engines have crashed under a part of this prompt")
-                    .withRetryAfterMillis(quarantineMillis.getAsLong());
-        }
-    }
-
-    private long fingerprint() {
-        return Fingerprint.of(request.getMethod(), request.getHttpURI().getPathQuery(), account, body);
-    }
-
     private void startAttempt(FleetSnapshot snapshot, UpstreamChoice choice, long leftMillis) {
         String key = choice.candidate().upstream().key();
         HttpFields.Mutable headers = HttpFields.build();
@@ -332,7 +305,7 @@
             retryOrFail(attempt, "unusable", unusable.get());
             return false;
         }
-        context.state().partSuspects().recordResponse(FleetState.keyHash(attempt.upstream()), attempt.startedMillis());
+        crashGuard.recordResponse(attempt.upstream(), attempt.startedMillis());
         boolean failed = newStatus >= HttpStatus.INTERNAL_SERVER_ERROR_500;
         if (failed && !committed && deadlineMillis - now > MIN_ATTEMPT_MILLIS && mayRetry(attempts + 1, now)) {
             attempts++;
@@ -366,12 +339,6 @@
         }
     }
 
-    private void clearSuspicion() {
-        if (!context.state().suspects().isEmpty()) {
-            context.state().suspects().recordSuccess(fingerprint());
-        }
-    }
-
     private void recordRefusal(UpstreamAttempt attempt, UpstreamResponse upstreamResponse) {
         boolean otherUpstream = upstreamResponse
                 .upstreamId()
@@ -452,14 +419,9 @@
             return;
         }
         attempts++;
-        if (status < HttpStatus.INTERNAL_SERVER_ERROR_500) {
-            clearSuspicion();
-        }
-        if (prefixLocator.isPresent() && HttpStatus.isSuccess(status)) {
-            context.state()
-                    .partSuspects()
-                    .recordAnswer(sharedParts, context.timers().monotonicMillis());
-        }
+        crashGuard.recordComplete(
+                status < HttpStatus.INTERNAL_SERVER_ERROR_500,
+                prefixLocator.isPresent() && HttpStatus.isSuccess(status));
         commit();
         byte[] rest = relayedBody.takeRemaining();
         finish("answered");
@@ -486,15 +448,7 @@
         mayHaveRun = true;
         attempts++;
         if (isConnectionLost(failure)) {
-            long fingerprint = fingerprint();
-            boolean hasEvent = relayedBody.hasEventOfAnyAttempt();
-            ForwardLog.upstreamLost(attempt, caller, fingerprint, hasEvent);
-            long now = context.timers().monotonicMillis();
-            context.state().suspects().recordCrash(fingerprint, now);
-            // Only an engine has prompts; a part that was written an answer on does not end engines.
-            if (prefixLocator.isPresent() && !hasEvent) {
-                context.state().partSuspects().recordEnd(sharedParts, FleetState.keyHash(attempt.upstream()), now);
-            }
+            crashGuard.recordLost(attempt, caller, relayedBody.hasEventOfAnyAttempt(), prefixLocator.isPresent());
         }
         retryOrFail(attempt, "broken", failure.toString());
     }
