Learn the speed of upstreams apart from the cost of requests

Cause: an upstream was known as slow only through the figure in its load header, for half a second, at the router that got the response. With 84 routers and 63 engines a router sees an engine every ten seconds, so lasting speeds of 0.6 to 1.6 were never known.

UpstreamSpeed keeps, for each incarnation, the logarithm of observed by normal time to the first byte (service time for calls) as a decayed, clamped mean. NormalDuration removes the error that the expectation of a service has as a whole. The figure of the load header counts relative to the usual figure of the same upstream, so a lasting slowness that is in it counts once, and decays within some hundred milliseconds.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/PeerLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/PeerLoad.java
@@ -8,6 +8,7 @@
  * @param oldestUnansweredMillis age of the oldest request whose response has not started yet
  * @param failures exponentially decayed number of recent failures
  * @param memoryTokens tokens that the requests in flight occupy in the memory of an engine
+ * @param pace what the router has observed of the upstream's speed
  */
 public record PeerLoad(
         long upstream,
@@ -15,7 +16,31 @@
         PrefillBacklog backlog,
         int oldestUnansweredMillis,
         double failures,
-        long memoryTokens) {
+        long memoryTokens,
+        UpstreamPace pace) {
+    /** Creates a load of an upstream whose speed is not known. */
+    public PeerLoad(
+            long upstream,
+            int inFlight,
+            PrefillBacklog backlog,
+            int oldestUnansweredMillis,
+            double failures,
+            long memoryTokens) {
+        this(upstream, inFlight, backlog, oldestUnansweredMillis, failures, memoryTokens, UpstreamPace.UNKNOWN);
+    }
+
+    /** Returns the same load at a later time. */
+    public PeerLoad olderBy(long addedMillis) {
+        return new PeerLoad(
+                upstream,
+                inFlight,
+                backlog,
+                oldestUnansweredMillis,
+                failures,
+                memoryTokens,
+                new UpstreamPace(pace.evidence(), pace.slowness().older(addedMillis)));
+    }
+
     /** Returns the difference of two loads, with no count below 0. */
     public PeerLoad minus(PeerLoad subtracted) {
         return new PeerLoad(
@@ -24,6 +49,7 @@
                 backlog.minus(subtracted.backlog()),
                 oldestUnansweredMillis,
                 Math.max(0, failures - subtracted.failures()),
-                Math.max(0, memoryTokens - subtracted.memoryTokens()));
+                Math.max(0, memoryTokens - subtracted.memoryTokens()),
+                pace.minus(subtracted.pace()));
     }
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
@@ -3,6 +3,7 @@
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PeerTotal;
 import io.agatelane.core.fleet.PrefillBacklog;
+import io.agatelane.core.fleet.UpstreamPace;
 import io.agatelane.core.fleet.UpstreamRange;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -87,9 +88,10 @@
 
     // The ranges of the parts do not overlap.
     private record Digest(Source source, long incarnation, List<ReceivedPart> parts) {
-        private List<PeerLoad> loads() {
+        private List<PeerLoad> loads(long nowMillis) {
             return parts.stream()
-                    .flatMap(received -> received.part().loads().stream())
+                    .flatMap(received -> received.part().loads().stream()
+                            .map(load -> load.olderBy(Math.max(0, nowMillis - received.receivedMillis()))))
                     .toList();
         }
     }
@@ -153,12 +155,18 @@
         all.add(own);
         digests.values().stream()
                 .filter(digest -> sources.contains(digest.source()))
-                .forEach(digest -> all.add(digest.loads()));
+                .forEach(digest -> all.add(digest.loads(nowMillis)));
         List<PeerLoad> merged = new ArrayList<>();
         byUpstream(all).forEach((upstream, loads) -> {
             Sum sum = Sum.of(loads);
             merged.add(new PeerLoad(
-                    upstream, sum.inFlight, sum.backlog, sum.longestUnansweredMillis, sum.failures, sum.memoryTokens));
+                    upstream,
+                    sum.inFlight,
+                    sum.backlog,
+                    sum.longestUnansweredMillis,
+                    sum.failures,
+                    sum.memoryTokens,
+                    sum.pace));
             if (sum.secondLongestUnansweredMillis > 0) {
                 merged.add(new PeerLoad(upstream, 0, PrefillBacklog.EMPTY, sum.secondLongestUnansweredMillis, 0, 0));
             }
@@ -171,7 +179,7 @@
         if (lastSumMillis == Long.MIN_VALUE || nowMillis - lastSumMillis >= REFRESH_MILLIS) {
             expire(nowMillis);
             if (changed) {
-                totals = sum();
+                totals = sum(nowMillis);
                 changed = false;
             }
             lastSumMillis = nowMillis;
@@ -194,19 +202,23 @@
         digests.values().removeIf(digest -> digest.parts().isEmpty());
     }
 
-    private Map<Long, PeerTotal> sum() {
+    private Map<Long, PeerTotal> sum(long nowMillis) {
         Map<Long, PeerTotal> result = new HashMap<>();
-        byUpstream(digests.values().stream().map(Digest::loads).toList()).forEach((upstream, loads) -> {
-            Sum sum = Sum.of(loads);
-            result.put(
-                    upstream,
-                    new PeerTotal(
-                            sum.inFlight,
-                            sum.backlog,
-                            sum.secondLongestUnansweredMillis,
-                            sum.failures,
-                            sum.memoryTokens));
-        });
+        byUpstream(digests.values().stream()
+                        .map(digest -> digest.loads(nowMillis))
+                        .toList())
+                .forEach((upstream, loads) -> {
+                    Sum sum = Sum.of(loads);
+                    result.put(
+                            upstream,
+                            new PeerTotal(
+                                    sum.inFlight,
+                                    sum.backlog,
+                                    sum.secondLongestUnansweredMillis,
+                                    sum.failures,
+                                    sum.memoryTokens,
+                                    sum.pace));
+                });
         return result;
     }
 
@@ -225,6 +237,7 @@
         private int secondLongestUnansweredMillis;
         private double failures;
         private long memoryTokens;
+        private UpstreamPace pace = UpstreamPace.UNKNOWN;
 
         private static Sum of(List<PeerLoad> loads) {
             Sum sum = new Sum();
@@ -233,6 +246,7 @@
                 sum.backlog = sum.backlog.plus(load.backlog());
                 sum.failures += load.failures();
                 sum.memoryTokens += load.memoryTokens();
+                sum.pace = sum.pace.plus(load.pace());
                 sum.secondLongestUnansweredMillis = Math.max(
                         sum.secondLongestUnansweredMillis,
                         Math.min(sum.longestUnansweredMillis, load.oldestUnansweredMillis()));
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
@@ -19,14 +19,13 @@
     private static final double OTHERS_HALF_LIFE_MILLIS = 500;
     // Half-life of failures; short, so that a recovered upstream receives requests again within seconds.
     private static final double FAILURE_HALF_LIFE_MILLIS = 2_000;
-    private static final double NORMAL_DURATION_PERCENT = 100;
 
     private final Map<Object, Long> unansweredSinceMillis = new HashMap<>();
+    private final UpstreamSpeed speed = new UpstreamSpeed();
     private int inFlight;
     private long memoryTokens;
     private PrefillBacklog backlog = PrefillBacklog.EMPTY;
     private double otherRequests;
-    private double durationPercent = NORMAL_DURATION_PERCENT;
     private long lastReportMillis;
     private double failures;
     private long failuresUpdatedMillis;
@@ -56,14 +55,24 @@
     /**
      * Records a load report of the upstream.
      *
-     * @param newDurationPercent duration of work relative to its normal duration; 100 is normal
+     * @param slownessPercent duration of work relative to its normal duration; 100 is normal
      */
-    public synchronized void recordReport(int running, int waiting, double newDurationPercent, long nowMillis) {
+    public synchronized void recordReport(int running, int waiting, double slownessPercent, long nowMillis) {
         otherRequests = Math.max(0, running + waiting - inFlight);
-        durationPercent = newDurationPercent;
+        speed.recordReport(slownessPercent, nowMillis);
         lastReportMillis = nowMillis;
     }
 
+    /**
+     * Records how long the upstream took for a response, after the load report of that response.
+     *
+     * @param factor observed by normal duration
+     * @param weight 0 to 1; how much the response says about the speed of the upstream
+     */
+    public synchronized void recordDuration(double factor, double weight, long nowMillis) {
+        speed.recordDuration(factor, weight, nowMillis);
+    }
+
     /** Records a failure caused by the upstream itself. */
     public synchronized void recordFailure(long nowMillis) {
         failures = failures(nowMillis) + 1;
@@ -85,7 +94,7 @@
         return new UpstreamEstimate(
                 inFlight + Math.max(decayedOtherRequests, peers.inFlight()),
                 backlog.plus(peers.backlog()),
-                decayedDurationPercent(nowMillis),
+                speed.pace(nowMillis).plus(peers.pace()).durationPercent(),
                 Math.max(oldestUnansweredMillis(nowMillis), peers.confirmedUnansweredMillis()),
                 failures(nowMillis) + peers.failures(),
                 memoryTokens + peers.memoryTokens());
@@ -99,13 +108,8 @@
                 backlog,
                 (int) oldestUnansweredMillis(nowMillis),
                 failures(nowMillis),
-                memoryTokens);
-    }
-
-    // Slowness is often temporary: without a newer report the value returns to normal.
-    private double decayedDurationPercent(long nowMillis) {
-        double excess = durationPercent - NORMAL_DURATION_PERCENT;
-        return NORMAL_DURATION_PERCENT + excess * decayFactor(nowMillis - lastReportMillis, OTHERS_HALF_LIFE_MILLIS);
+                memoryTokens,
+                speed.pace(nowMillis));
     }
 
     private long oldestUnansweredMillis(long nowMillis) {
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChoice.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChoice.java
@@ -8,6 +8,7 @@
  * @param expectedMillis expected time to the first byte of the response
  * @param queueMillis part of the expected time before the upstream starts to process the request
  * @param prefillMillis part of the expected time that the upstream spends on the prefill of the prompt
+ * @param normalMillis expected time to the first byte on an upstream of normal speed, without the network
  * @param cacheSource address to copy the shared prompt parts from; empty when the chosen engine has them or no engine
  *     or store does
  */
@@ -16,4 +17,5 @@
         double expectedMillis,
         double queueMillis,
         double prefillMillis,
+        double normalMillis,
         Optional<String> cacheSource) {}
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -49,6 +49,7 @@
                         callMillis(candidate, serviceMillis),
                         callQueueMillis(candidate, serviceMillis),
                         0,
+                        callWaitMillis(candidate, serviceMillis) + serviceMillis,
                         Optional.empty()));
     }
 
@@ -65,6 +66,7 @@
                         promptMillis(candidate, preferred, request, locator),
                         queueMillis(candidate, request),
                         prefillMillis(candidate, request, locator),
+                        normalQueueMillis(candidate, request) + prefillMillis(candidate, request, locator),
                         locator.addressToQuery(candidate)));
     }
 
@@ -116,12 +118,17 @@
     }
 
     private static double queueMillis(Candidate candidate, PromptRequest request) {
+        return normalQueueMillis(candidate, request) * candidate.estimate().durationPercent() / PERCENT;
+    }
+
+    // Time in the queue of an engine of normal speed.
+    private static double normalQueueMillis(Candidate candidate, PromptRequest request) {
         UpstreamEstimate load = candidate.estimate();
         int slots = Math.max(1, request.profile().slots());
         double slotWait = Math.max(0, load.requests() + 1 - slots) * SLOT_OCCUPANCY_MILLIS / slots;
         double utilisation = load.requests() / slots * FULL_UTILISATION_MILLIS;
         double prefill = load.backlog().millisAhead(request.priority());
-        return (prefill + slotWait + utilisation) * load.durationPercent() / PERCENT;
+        return prefill + slotWait + utilisation;
     }
 
     private static double prefillMillis(Candidate candidate, PromptRequest request, PrefixLocator locator) {
@@ -148,10 +155,15 @@
     private static double callQueueMillis(Candidate candidate, double serviceMillis) {
         UpstreamEstimate load = candidate.estimate();
         int slots = Math.max(1, candidate.upstream().slots());
-        double waiting = Math.max(0, load.requests() + 1 - slots) / slots * serviceMillis;
         // Among upstreams with free slots the less loaded one is preferred: some slow down when they are nearly full.
         double utilisation = load.requests() / slots * FULL_UTILISATION_MILLIS;
-        return waiting * load.durationPercent() / PERCENT + utilisation;
+        return callWaitMillis(candidate, serviceMillis) * load.durationPercent() / PERCENT + utilisation;
+    }
+
+    // Time for a slot of an upstream of normal speed.
+    private static double callWaitMillis(Candidate candidate, double serviceMillis) {
+        int slots = Math.max(1, candidate.upstream().slots());
+        return Math.max(0, candidate.estimate().requests() + 1 - slots) / slots * serviceMillis;
     }
 
     private double penaltyMillis(Candidate candidate) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
@@ -1,11 +1,14 @@
 package io.agatelane.node.fleet;
 
 import io.agatelane.core.fleet.CrashReport;
+import io.agatelane.core.fleet.DurationEvidence;
 import io.agatelane.core.fleet.PartReport;
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import io.agatelane.core.fleet.PrefillBacklog;
+import io.agatelane.core.fleet.ReportedSlowness;
 import io.agatelane.core.fleet.ServiceDemand;
+import io.agatelane.core.fleet.UpstreamPace;
 import io.agatelane.core.fleet.UpstreamRange;
 import io.agatelane.core.limits.AccountDemand;
 import io.agatelane.wire.peer.AccountDemandEntry;
@@ -26,18 +29,50 @@
 /** Converts between the parts of a gossiped load digest and the router's own types. */
 final class DigestCodec {
     private static final double PERCENT = 100;
+    // An older report of a momentary slowness says nothing any more, so it is not passed on.
+    private static final long MAX_SLOWNESS_AGE_MILLIS = 3_000;
 
     private DigestCodec() {}
 
     static UpstreamLoadEntry encode(PeerLoad load) {
-        return UpstreamLoadEntry.newBuilder()
+        UpstreamLoadEntry.Builder entry = UpstreamLoadEntry.newBuilder()
                 .setUpstream(load.upstream())
                 .setInFlight(load.inFlight())
                 .addAllPrefillMillis(load.backlog().wholeMillisByPriority())
                 .setSilentMillis(load.oldestUnansweredMillis())
                 .setFailuresPercent((int) Math.round(load.failures() * PERCENT))
-                .setMemoryTokens(load.memoryTokens())
-                .build();
+                .setMemoryTokens(load.memoryTokens());
+        addPace(entry, load.pace());
+        return entry.build();
+    }
+
+    private static void addPace(UpstreamLoadEntry.Builder entry, UpstreamPace pace) {
+        DurationEvidence evidence = pace.evidence();
+        int weightPercent = percent(evidence.weight());
+        if (weightPercent > 0) {
+            entry.setDurationPercent(percent(evidence.meanDuration()))
+                    .setDurationWeightPercent(weightPercent)
+                    .setMeanSlownessPercent(percent(evidence.meanSlowness()));
+        }
+        ReportedSlowness slowness = pace.slowness();
+        if (slowness.ageMillis() <= MAX_SLOWNESS_AGE_MILLIS) {
+            entry.setSlownessPercent(slowness.percent()).setSlownessAgeMillis((int) slowness.ageMillis());
+        }
+    }
+
+    private static UpstreamPace pace(UpstreamLoadEntry entry) {
+        DurationEvidence evidence = DurationEvidence.ofMeans(
+                entry.getDurationWeightPercent() / PERCENT,
+                entry.getDurationPercent() / PERCENT,
+                entry.getMeanSlownessPercent() / PERCENT);
+        ReportedSlowness slowness = entry.getSlownessPercent() > 0
+                ? new ReportedSlowness(entry.getSlownessPercent(), Math.max(0, entry.getSlownessAgeMillis()))
+                : ReportedSlowness.NONE;
+        return new UpstreamPace(evidence, slowness);
+    }
+
+    private static int percent(double factor) {
+        return (int) Math.round(factor * PERCENT);
     }
 
     /** The range of upstreams that a datagram covers; all of them in a digest of an earlier build. */
@@ -55,7 +90,8 @@
                         PrefillBacklog.of(entry.getPrefillMillisList()),
                         entry.getSilentMillis(),
                         entry.getFailuresPercent() / PERCENT,
-                        entry.getMemoryTokens()))
+                        entry.getMemoryTokens(),
+                        pace(entry)))
                 .toList();
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -33,6 +33,8 @@
 public final class FleetState {
     // Failures that have decayed below this do not affect the choice of an upstream, so they are not reported.
     private static final double MIN_REPORTED_FAILURES = 0.1;
+    // Observations of an upstream's speed that have decayed below this change the estimate by a few percent at most.
+    private static final double MIN_REPORTED_WEIGHT = 0.3;
     // Each hint and each read of the roll-out record renews a reservation, so those of a failed holder expire soon.
     // Longer than the time between two reads.
     static final long RESERVATION_MILLIS = 1_000;
@@ -207,7 +209,9 @@
     public List<PeerLoad> reportedLoads(long nowMillis) {
         return snapshot.view().upstreams().stream()
                 .map(upstream -> load(upstream).digest(keyHash(upstream), nowMillis))
-                .filter(load -> load.inFlight() > 0 || load.failures() > MIN_REPORTED_FAILURES)
+                .filter(load -> load.inFlight() > 0
+                        || load.failures() > MIN_REPORTED_FAILURES
+                        || load.pace().evidence().weight() > MIN_REPORTED_WEIGHT)
                 .toList();
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.command.CrashSuspects;
+import io.agatelane.core.fleet.command.NormalDuration;
 import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
@@ -324,6 +325,7 @@
         if (!failed) {
             load.recordSuccess(now);
             recordPrefillSpeed(attempt, now);
+            recordDuration(attempt, now);
             prefixLocator.ifPresent(
                     locator -> locator.placementsAfterPrefill(attempt.choice().candidate(), saveTo.isPresent())
                             .forEach(context.state().placements()::recordLocal));
@@ -348,6 +350,14 @@
         }
     }
 
+    private void recordDuration(UpstreamAttempt attempt, long now) {
+        UpstreamChoice choice = attempt.choice();
+        long observedMillis = now - attempt.startedMillis();
+        NormalDuration.Sample sample = context.normalDuration(service).record(observedMillis, choice.normalMillis());
+        context.state().load(attempt.upstream()).recordDuration(sample.factor(), sample.weight(), now);
+        ForwardLog.firstByte(context, choice, observedMillis);
+    }
+
     private void clearSuspicion() {
         if (!context.state().suspects().isEmpty()) {
             context.state().suspects().recordSuccess(fingerprint());
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.command.NormalDuration;
 import io.agatelane.core.fleet.command.PrefillSpeed;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
@@ -25,6 +26,7 @@
     private final MetricRegistry metrics;
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
+    private final Map<String, NormalDuration> normalDurations = new ConcurrentHashMap<>();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
     private volatile boolean draining;
     private volatile boolean refusing;
@@ -96,6 +98,11 @@
         return prefillSpeeds.computeIfAbsent(service, name -> new PrefillSpeed(settings.prefillTokensPerMilli()));
     }
 
+    /** Observed by expected time to the response, over all upstreams of a service. */
+    NormalDuration normalDuration(String service) {
+        return normalDurations.computeIfAbsent(service, name -> new NormalDuration());
+    }
+
     /** Budget of retries to a service. */
     WindowedRetryBudget budget(String service) {
         return budgets.computeIfAbsent(
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -19,6 +19,9 @@
 final class ForwardLog {
     private static final EventLog LOG = EventLog.of(ForwardLog.class);
     private static final long UNKNOWN = -1;
+    // Below this, the network determines the time to the first byte.
+    private static final double MIN_COMPARED_MILLIS = 5;
+    private static final double PERCENT = 100;
 
     private ForwardLog() {}
 
@@ -52,6 +55,7 @@
                 .with("queue_ms", choice.queueMillis())
                 .with("prefill_ms", choice.prefillMillis())
                 .with("requests", chosen.estimate().requests())
+                .with("duration_percent", chosen.estimate().durationPercent())
                 .with("memory_tokens", chosen.estimate().memoryTokens())
                 .with("silent_ms", chosen.estimate().oldestUnansweredMillis())
                 .with("failures", chosen.estimate().failures())
@@ -62,6 +66,14 @@
                 .info();
     }
 
+    /** Records how the time to the first byte of a response compares with the expected one. */
+    static void firstByte(ForwardContext context, UpstreamChoice choice, long observedMillis) {
+        double expectedMillis = Math.max(MIN_COMPARED_MILLIS, choice.expectedMillis());
+        context.metrics()
+                .histogram("first_byte_by_expected_percent")
+                .update(Math.round(observedMillis / expectedMillis * PERCENT));
+    }
+
     /** Logs that a request waits because no engine has memory for its prompt. */
     static void waiting(ForwardContext context, String id, long expectedMillis, long maxMillis) {
         LOG.event("request_waiting")
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/DigestDatagramsTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/DigestDatagramsTest.java
@@ -3,9 +3,12 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import io.agatelane.core.fleet.DurationEvidence;
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import io.agatelane.core.fleet.PrefillBacklog;
+import io.agatelane.core.fleet.ReportedSlowness;
+import io.agatelane.core.fleet.UpstreamPace;
 import io.agatelane.core.fleet.command.PeerLoads;
 import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.node.io.gossip.UdpSocket;
@@ -112,6 +115,24 @@
         assertEquals(loads, 1);
     }
 
+    // Guards against a speed that is lost or changed on its way to the other routers.
+    @Test
+    public void speedArrivesWithItsWeightAndAge() throws Exception {
+        UpstreamPace pace = new UpstreamPace(DurationEvidence.ofMeans(2.5, 1.6, 1.2), new ReportedSlowness(250, 120));
+        DigestContent content = new DigestContent(
+                List.of(new PeerLoad(Long.MIN_VALUE, 1, PrefillBacklog.EMPTY, 0, 0, 0, pace), load(2)),
+                0,
+                DigestEvents.NONE,
+                RolloutHints.NONE,
+                List.of(),
+                List.of());
+        List<PeerLoad> decoded = DigestCodec.loads(
+                LoadDigest.parseFrom(DigestDatagrams.encode(header(1), content).get(0)));
+        assertEquals(decoded.get(0).pace().durationPercent(), pace.durationPercent(), 1);
+        assertEquals(decoded.get(0).pace().slowness(), pace.slowness());
+        assertEquals(decoded.get(1).pace(), UpstreamPace.UNKNOWN);
+    }
+
     private static void apply(byte[] datagram, PeerLoads peers, long nowMillis) throws Exception {
         LoadDigest digest = LoadDigest.parseFrom(datagram);
         peers.update(
--- a/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
@@ -96,7 +96,7 @@
         Candidate candidate = new Candidate(upstream, UpstreamEstimate.IDLE, 0);
         return new UpstreamAttempt(
                 context,
-                new UpstreamChoice(candidate, 0, 0, 0, Optional.empty()),
+                new UpstreamChoice(candidate, 0, 0, 0, 0, Optional.empty()),
                 new RequestWork(0, 0, 0),
                 1,
                 listener);
