Count the prefill of other prompts in the choice of an engine

Cause: only prefill of the same or a higher urgency counted as work ahead. A short prompt was sent to an engine with an expected first token of 8 ms where 1.2 s of less urgent prompts were being prefilled; it got it after 300 to 600 ms. A long prompt was sent where it stopped many running streams.

The expected time to the first token now contains a share of the less urgent prefill at the engine. It does not count as queue, so no request is refused for it. Among engines, the delay that a prompt's own prefill causes to the streams running there counts with 0.015 ms for each millisecond and stream.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptRequest.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/PromptRequest.java
@@ -1,6 +1,7 @@
 package io.agatelane.core.fleet.query;
 
 import io.agatelane.core.fleet.EngineProfile;
+import io.agatelane.core.fleet.Interference;
 import io.agatelane.core.fleet.Prompt;
 
 /**
@@ -10,6 +11,7 @@
  * @param newestVersion newest weights version that the operator has requested; 0 when unknown
  * @param objectiveMillis latency objective of the route: desired time to the first token
  * @param prefillTokensPerMilli prompt tokens that an engine prefills per millisecond
+ * @param interferenceShare delay of the first token per millisecond of prefill of less urgent prompts at the engine
  */
 public record PromptRequest(
         Prompt prompt,
@@ -17,4 +19,23 @@
         int priority,
         long newestVersion,
         long objectiveMillis,
-        double prefillTokensPerMilli) {}
+        double prefillTokensPerMilli,
+        double interferenceShare) {
+    /** Creates a request with the assumed interference of other prompts. */
+    public PromptRequest(
+            Prompt prompt,
+            EngineProfile profile,
+            int priority,
+            long newestVersion,
+            long objectiveMillis,
+            double prefillTokensPerMilli) {
+        this(
+                prompt,
+                profile,
+                priority,
+                newestVersion,
+                objectiveMillis,
+                prefillTokensPerMilli,
+                Interference.ASSUMED_SHARE);
+    }
+}
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -1,5 +1,7 @@
 package io.agatelane.core.fleet.query;
 
+import io.agatelane.core.fleet.Interference;
+import io.agatelane.core.fleet.PrefillBacklog;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.UpstreamEstimate;
 import io.agatelane.core.hash.Rendezvous;
@@ -33,6 +35,9 @@
     private static final double FULL_UTILISATION_MILLIS = 20;
     // Time for which a request that generates some tens of tokens occupies a slot.
     private static final double SLOT_OCCUPANCY_MILLIS = 120;
+    // Cost of delaying one running stream by one millisecond: the caller already has its first tokens, but the stream
+    // holds its slot and its memory for longer.
+    private static final double DELAYED_STREAM_WEIGHT = 0.015;
     private static final double PERCENT = 100;
 
     private final ChoiceSettings settings;
@@ -50,6 +55,7 @@
                         callQueueMillis(candidate, serviceMillis),
                         0,
                         callWaitMillis(candidate, serviceMillis) + serviceMillis,
+                        Interference.NONE,
                         Optional.empty()));
     }
 
@@ -60,13 +66,17 @@
         Optional<Candidate> preferred = locator.hasLongPrefix()
                 ? preferred(candidates, request.prompt(), request.newestVersion())
                 : Optional.empty();
-        return best(candidates, candidate -> promptMillis(candidate, preferred, request, locator))
+        return best(
+                        candidates,
+                        candidate -> promptMillis(candidate, preferred, request, locator)
+                                + delayOfStreams(candidate, request))
                 .map(candidate -> new UpstreamChoice(
                         candidate,
                         promptMillis(candidate, preferred, request, locator),
                         queueMillis(candidate, request),
                         prefillMillis(candidate, request, locator),
-                        normalQueueMillis(candidate, request) + prefillMillis(candidate, request, locator),
+                        normalMillis(candidate, request, locator),
+                        interference(candidate, request),
                         locator.addressToQuery(candidate)));
     }
 
@@ -93,14 +103,36 @@
     private double promptMillis(
             Candidate candidate, Optional<Candidate> preferred, PromptRequest request, PrefixLocator locator) {
         UpstreamEstimate load = candidate.estimate();
-        double prefill = prefillMillis(candidate, request, locator) * load.durationPercent() / PERCENT;
-        double millis = queueMillis(candidate, request) + prefill + penaltyMillis(candidate);
+        double millis =
+                normalMillis(candidate, request, locator) * load.durationPercent() / PERCENT + penaltyMillis(candidate);
         millis += repeatedPrefillMillis(candidate, preferred, request, locator);
         return candidate.weightsVersion() < request.newestVersion()
                 ? millis + request.objectiveMillis() * OLD_WEIGHTS_SHARE
                 : millis;
     }
 
+    // Time to the first token at an engine of normal speed.
+    private static double normalMillis(Candidate candidate, PromptRequest request, PrefixLocator locator) {
+        return normalQueueMillis(candidate, request)
+                + interference(candidate, request).delayMillis()
+                + prefillMillis(candidate, request, locator);
+    }
+
+    // An engine that is in the middle of a less urgent prompt goes on with it in the same steps.
+    private static Interference interference(Candidate candidate, PromptRequest request) {
+        PrefillBacklog backlog = candidate.estimate().backlog();
+        double workMillis = backlog.totalMillis() - backlog.millisAhead(request.priority());
+        return new Interference(workMillis, workMillis * request.interferenceShare());
+    }
+
+    // Each step that prefills a part of the prompt delays the next token of all streams that run at the engine. Shared
+    // parts are left out, because where they are prefilled is decided by who has or prepares them.
+    private static double delayOfStreams(Candidate candidate, PromptRequest request) {
+        UpstreamEstimate load = candidate.estimate();
+        double streams = Math.min(load.requests(), Math.max(1, request.profile().slots()));
+        return unsharedMillis(request) * load.durationPercent() / PERCENT * streams * DELAYED_STREAM_WEIGHT;
+    }
+
     // Prefilling a long prefix that is available elsewhere occupies the engine for as long as a late response is late,
     // without any benefit.
     private static double repeatedPrefillMillis(
@@ -132,9 +164,8 @@
     }
 
     private static double prefillMillis(Candidate candidate, PromptRequest request, PrefixLocator locator) {
-        Prompt prompt = request.prompt();
-        int shared = prompt.sharedTokens();
-        double unshared = Math.max(0, prompt.inputTokens() - shared) / request.prefillTokensPerMilli();
+        int shared = request.prompt().sharedTokens();
+        double unshared = unsharedMillis(request);
         // When an engine is already prefilling the prefix, its backlog contains that work.
         if (locator.holds(candidate) || locator.isPrefilling(candidate)) {
             return unshared;
@@ -146,6 +177,11 @@
                         .orElse(repeated);
     }
 
+    private static double unsharedMillis(PromptRequest request) {
+        Prompt prompt = request.prompt();
+        return Math.max(0, prompt.inputTokens() - prompt.sharedTokens()) / request.prefillTokensPerMilli();
+    }
+
     private double callMillis(Candidate candidate, double serviceMillis) {
         UpstreamEstimate load = candidate.estimate();
         double run = serviceMillis * load.durationPercent() / PERCENT;
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/EngineRoomTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/EngineRoomTest.java
@@ -205,7 +205,13 @@
     private static boolean isQueueShort(SimulatedEngine engine, Job job, Kind kind) {
         double queueMillis = engine.backlog().millisAhead(job.priority);
         UpstreamChoice choice = new UpstreamChoice(
-                candidate(engine), 0, queueMillis, job.promptTokens / kind.capacityPerMilli(), 0, Optional.empty());
+                candidate(engine),
+                0,
+                queueMillis,
+                job.promptTokens / kind.capacityPerMilli(),
+                0,
+                Interference.NONE,
+                Optional.empty());
         return job.isShort
                 || QueueLimit.retryAfterMillis(choice, kind.longObjectiveMillis())
                         .isEmpty();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -5,6 +5,7 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.Interference;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
@@ -51,6 +52,7 @@
  */
 final class ForwardCall implements UpstreamAttempt.Listener {
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
+    private static final double PERCENT = 100;
     // Failed connects do not count as attempts, but a request must not try every upstream of a fleet that is down.
     private static final int MAX_FAILED_CONNECTS = 3;
     // Shortest time that is worth an attempt: a round trip between zones and the fastest response.
@@ -354,6 +356,11 @@
         UpstreamChoice choice = attempt.choice();
         long observedMillis = now - attempt.startedMillis();
         NormalDuration.Sample sample = context.normalDuration(service).record(observedMillis, choice.normalMillis());
+        Interference interference = choice.interference();
+        double normalMillis =
+                observedMillis * PERCENT / choice.candidate().estimate().durationPercent();
+        double withoutOthersMillis = choice.normalMillis() - interference.delayMillis();
+        context.interference(service).record(interference.workMillis(), normalMillis - withoutOthersMillis);
         context.state().load(attempt.upstream()).recordDuration(sample.factor(), sample.weight(), now);
         ForwardLog.firstByte(context, choice, observedMillis);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -2,6 +2,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.agatelane.core.fleet.command.NormalDuration;
+import io.agatelane.core.fleet.command.PrefillInterference;
 import io.agatelane.core.fleet.command.PrefillSpeed;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
@@ -27,6 +28,7 @@
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
     private final Map<String, NormalDuration> normalDurations = new ConcurrentHashMap<>();
+    private final Map<String, PrefillInterference> interferences = new ConcurrentHashMap<>();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
     private volatile boolean draining;
     private volatile boolean refusing;
@@ -103,6 +105,11 @@
         return normalDurations.computeIfAbsent(service, name -> new NormalDuration());
     }
 
+    /** Delay that prompts of a service cause to more urgent ones. */
+    PrefillInterference interference(String service) {
+        return interferences.computeIfAbsent(service, name -> new PrefillInterference());
+    }
+
     /** Budget of retries to a service. */
     WindowedRetryBudget budget(String service) {
         return budgets.computeIfAbsent(
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -54,6 +54,7 @@
                 .with("expected_ms", choice.expectedMillis())
                 .with("queue_ms", choice.queueMillis())
                 .with("prefill_ms", choice.prefillMillis())
+                .with("other_prefill_ms", choice.interference().workMillis())
                 .with("requests", chosen.estimate().requests())
                 .with("duration_percent", chosen.estimate().durationPercent())
                 .with("memory_tokens", chosen.estimate().memoryTokens())
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -173,7 +173,8 @@
                 priority,
                 newest,
                 route.latencyObjectiveMillis(),
-                context.prefillSpeed(service).tokensPerMilli());
+                context.prefillSpeed(service).tokensPerMilli(),
+                context.interference(service).share());
         List<Candidate> sampled = sample(withRoom, prompt, prefixLocator, newest);
         Optional<UpstreamChoice> choice = context.chooser().chooseForPrompt(sampled, promptRequest, prefixLocator);
         boolean isBusy = choice.isEmpty()
--- a/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
@@ -5,6 +5,7 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.Interference;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.UpstreamEstimate;
 import io.agatelane.core.fleet.query.Candidate;
@@ -96,7 +97,7 @@
         Candidate candidate = new Candidate(upstream, UpstreamEstimate.IDLE, 0);
         return new UpstreamAttempt(
                 context,
-                new UpstreamChoice(candidate, 0, 0, 0, 0, Optional.empty()),
+                new UpstreamChoice(candidate, 0, 0, 0, 0, Interference.NONE, Optional.empty()),
                 new RequestWork(0, 0, 0),
                 1,
                 listener);
