--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -6,10 +6,12 @@
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.Interference;
 import io.agatelane.core.fleet.PriorityLevels;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.command.NormalDuration;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EngineRoom;
@@ -46,6 +48,7 @@
  */
 final class ForwardCall implements UpstreamAttempt.Listener {
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
+    private static final double PERCENT = 100;
     // Failed connects do not count as attempts, but a request must not try every upstream of a fleet that is down.
     private static final int MAX_FAILED_CONNECTS = 3;
     // Shortest time that is worth an attempt: a round trip between zones and the fastest response.
@@ -315,6 +318,7 @@
         if (!failed) {
             load.recordSuccess(now);
             recordPrefillSpeed(attempt, now);
+            recordDuration(attempt, now);
             prefixLocator.ifPresent(
                     locator -> locator.placementsAfterPrefill(attempt.choice().candidate(), saveTo.isPresent())
                             .forEach(context.state().placements()::recordLocal));
@@ -339,6 +343,19 @@
         }
     }
 
+    private void recordDuration(UpstreamAttempt attempt, long now) {
+        UpstreamChoice choice = attempt.choice();
+        long observedMillis = now - attempt.startedMillis();
+        NormalDuration.Sample sample = context.normalDuration(service).record(observedMillis, choice.normalMillis());
+        Interference interference = choice.interference();
+        double normalMillis =
+                observedMillis * PERCENT / choice.candidate().estimate().durationPercent();
+        double withoutOthersMillis = choice.normalMillis() - interference.delayMillis();
+        context.interference(service).record(interference.workMillis(), normalMillis - withoutOthersMillis);
+        context.state().load(attempt.upstream()).recordDuration(sample.factor(), sample.weight(), now);
+        ForwardLog.firstByte(context, choice, observedMillis);
+    }
+
     private void recordRefusal(UpstreamAttempt attempt, UpstreamResponse upstreamResponse) {
         boolean otherUpstream = upstreamResponse
                 .upstreamId()
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,6 +1,8 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.command.NormalDuration;
+import io.agatelane.core.fleet.command.PrefillInterference;
 import io.agatelane.core.fleet.command.PrefillSpeed;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
@@ -28,6 +30,8 @@
     private final MetricRegistry metrics;
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
+    private final Map<String, NormalDuration> normalDurations = new ConcurrentHashMap<>();
+    private final Map<String, PrefillInterference> interferences = new ConcurrentHashMap<>();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
     private final ByteBudget responseBytes;
     private final KeyedByteBudget upstreamBytes;
@@ -117,6 +121,16 @@
         return prefillSpeeds.computeIfAbsent(service, name -> new PrefillSpeed(settings.prefillTokensPerMilli()));
     }
 
+    /** Observed by expected time to the response, over all upstreams of a service. */
+    NormalDuration normalDuration(String service) {
+        return normalDurations.computeIfAbsent(service, name -> new NormalDuration());
+    }
+
+    /** Delay that prompts of a service cause to more urgent ones. */
+    PrefillInterference interference(String service) {
+        return interferences.computeIfAbsent(service, name -> new PrefillInterference());
+    }
+
     /** Budget of retries to a service. */
     WindowedRetryBudget budget(String service) {
         return budgets.computeIfAbsent(
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -173,7 +173,8 @@
                 priority,
                 newest,
                 route.latencyObjectiveMillis(),
-                context.prefillSpeed(service).tokensPerMilli());
+                context.prefillSpeed(service).tokensPerMilli(),
+                context.interference(service).share());
         List<Candidate> sampled = sample(withRoom, prompt, prefixLocator, newest);
         Optional<UpstreamChoice> choice = context.chooser().chooseForPrompt(sampled, promptRequest, prefixLocator);
         boolean isBusy = choice.isEmpty()
@@ -189,7 +190,8 @@
         if (context.state().routerCount() <= CandidateSampler.MAX_ROUTERS_WITHOUT_SAMPLING) {
             return allowed;
         }
-        CandidateSampler sampler = new CandidateSampler(context.settings().zone(), newest);
+        CandidateSampler sampler = new CandidateSampler(
+                context.settings().zone(), newest, context.settings().vmName());
         return prefixLocator.hasLongPrefix()
                 ? sampler.sampleForPrefix(
                         allowed,
