Name the settings of held bytes apart from the operator's names

Change: memory.requestBytes and memory.upstreamBytes.

Measured: BoundaryTest, FleetSettingsReaderTest and LargeBodiesTest pass.

--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/FleetSettingsReader.java
@@ -103,9 +103,9 @@
     private static HeldBytes heldBytes(SettingsSection memory) {
         HeldBytes defaults = HeldBytes.ofHeap();
         return new HeldBytes(
-                memory.number("bodyBytes", defaults.bodyBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
+                memory.number("requestBytes", defaults.requestBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
                 memory.number("responseBytes", defaults.responseBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
-                memory.number("upstreamBodyBytes", defaults.upstreamBodyBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
+                memory.number("upstreamBytes", defaults.upstreamBytes(), MIN_HELD_BYTES, MAX_HELD_BYTES),
                 memory.integer("unreadMillis", (int) defaults.unreadMillis(), 1, MAX_MILLIS));
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -52,7 +52,7 @@
         this.timers = timers;
         this.metrics = metrics;
         responseBytes = new ByteBudget(heldBytes.responseBytes());
-        upstreamBytes = new KeyedByteBudget(heldBytes.upstreamBodyBytes());
+        upstreamBytes = new KeyedByteBudget(heldBytes.upstreamBytes());
         metrics.gauge("response_bytes_held", () -> responseBytes::heldBytes);
         metrics.gauge("upstream_body_bytes_largest", () -> upstreamBytes::largestHeldBytes);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
@@ -40,7 +40,8 @@
 
     public ForwardHandler(ForwardContext context) {
         this.context = context;
-        this.bodies = new HeldBodies(context.settings().heldBytes().bodyBytes(), context.timers(), context.metrics());
+        this.bodies =
+                new HeldBodies(context.settings().heldBytes().requestBytes(), context.timers(), context.metrics());
     }
 
     /** Number of requests that have no complete response yet. */
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -109,7 +109,7 @@
                 .with("id", id)
                 .with("upstreams", upstreams)
                 .with("body_bytes", bodyBytes)
-                .with("limit", context.settings().heldBytes().upstreamBodyBytes())
+                .with("limit", context.settings().heldBytes().upstreamBytes())
                 .with("action", "not_sent_to_these")
                 .info();
         context.metrics().counter("upstream_bytes_full_total").inc();
