Track the remaining work of upstreams in milliseconds

Cause: the wait for a slot assumed that every request occupies it for 120 ms, whether its response is about to end or has not begun.

UpstreamLoad sums what is left of the prefill and the output of this router's requests; digests carry it in remaining_millis. Requests that only the load header of the upstream shows count with the mean of the others. The wait for a slot follows from the remaining work and the number of requests; without any known work it is as before.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/PeerLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/PeerLoad.java
@@ -8,6 +8,7 @@
  * @param oldestUnansweredMillis age of the oldest request whose response has not started yet
  * @param failures exponentially decayed number of recent failures
  * @param memoryTokens tokens that the requests in flight occupy in the memory of an engine
+ * @param remainingMillis expected time, at normal speed, of the work of the requests in flight that is not done yet
  * @param pace what the router has observed of the upstream's speed
  */
 public record PeerLoad(
@@ -17,8 +18,9 @@
         int oldestUnansweredMillis,
         double failures,
         long memoryTokens,
+        double remainingMillis,
         UpstreamPace pace) {
-    /** Creates a load of an upstream whose speed is not known. */
+    /** Creates a load of an upstream whose remaining work and speed are not known. */
     public PeerLoad(
             long upstream,
             int inFlight,
@@ -26,7 +28,7 @@
             int oldestUnansweredMillis,
             double failures,
             long memoryTokens) {
-        this(upstream, inFlight, backlog, oldestUnansweredMillis, failures, memoryTokens, UpstreamPace.UNKNOWN);
+        this(upstream, inFlight, backlog, oldestUnansweredMillis, failures, memoryTokens, 0, UpstreamPace.UNKNOWN);
     }
 
     /** Returns the same load at a later time. */
@@ -38,6 +40,7 @@
                 oldestUnansweredMillis,
                 failures,
                 memoryTokens,
+                remainingMillis,
                 new UpstreamPace(pace.evidence(), pace.slowness().older(addedMillis)));
     }
 
@@ -50,6 +53,7 @@
                 oldestUnansweredMillis,
                 Math.max(0, failures - subtracted.failures()),
                 Math.max(0, memoryTokens - subtracted.memoryTokens()),
+                Math.max(0, remainingMillis - subtracted.remainingMillis()),
                 pace.minus(subtracted.pace()));
     }
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
@@ -176,6 +176,7 @@
                     sum.longestUnansweredMillis,
                     sum.failures,
                     sum.memoryTokens,
+                    sum.remainingMillis,
                     sum.pace));
             if (sum.secondLongestUnansweredMillis > 0) {
                 merged.add(new PeerLoad(upstream, 0, PrefillBacklog.EMPTY, sum.secondLongestUnansweredMillis, 0, 0));
@@ -248,6 +249,7 @@
                                     sum.secondLongestUnansweredMillis,
                                     sum.failures,
                                     sum.memoryTokens,
+                                    sum.remainingMillis,
                                     sum.pace));
                 });
         return result;
@@ -268,6 +270,7 @@
         private int secondLongestUnansweredMillis;
         private double failures;
         private long memoryTokens;
+        private double remainingMillis;
         private UpstreamPace pace = UpstreamPace.UNKNOWN;
 
         private static Sum of(List<PeerLoad> loads) {
@@ -277,6 +280,7 @@
                 sum.backlog = sum.backlog.plus(load.backlog());
                 sum.failures += load.failures();
                 sum.memoryTokens += load.memoryTokens();
+                sum.remainingMillis += load.remainingMillis();
                 sum.pace = sum.pace.plus(load.pace());
                 sum.secondLongestUnansweredMillis = Math.max(
                         sum.secondLongestUnansweredMillis,
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
@@ -20,34 +20,50 @@
     // Half-life of failures; short, so that a recovered upstream receives requests again within seconds.
     private static final double FAILURE_HALF_LIFE_MILLIS = 2_000;
 
+    // What is left of a response that takes longer than expected, as a share of the expected time.
+    private static final double MIN_REMAINING_SHARE = 0.2;
+
     private final Map<Object, Long> unansweredSinceMillis = new HashMap<>();
+    private final Map<Object, Output> outputs = new HashMap<>();
     private final UpstreamSpeed speed = new UpstreamSpeed();
     private int inFlight;
     private long memoryTokens;
+    private double unansweredMillis;
     private PrefillBacklog backlog = PrefillBacklog.EMPTY;
     private double otherRequests;
     private long lastReportMillis;
     private double failures;
     private long failuresUpdatedMillis;
 
+    // A response that has started, and how long it is expected to take from then on.
+    private record Output(long startedMillis, double millis) {
+        private double remainingMillis(long nowMillis) {
+            return Math.max(millis * MIN_REMAINING_SHARE, millis - (nowMillis - startedMillis));
+        }
+    }
+
     /** Counts a request that is about to be sent. */
     public synchronized void recordSent(Object request, RequestWork work, long nowMillis) {
         inFlight++;
         memoryTokens += work.memoryTokens();
         backlog = backlog.with(work.priority(), work.prefillMillis());
+        unansweredMillis += work.prefillMillis() + work.outputMillis();
         unansweredSinceMillis.put(request, nowMillis);
     }
 
     /** Records that the response to a request has started; further calls for the same request have no effect. */
-    public synchronized void recordResponseStarted(Object request, RequestWork work) {
+    public synchronized void recordResponseStarted(Object request, RequestWork work, long nowMillis) {
         if (unansweredSinceMillis.remove(request) != null) {
+            unansweredMillis -= work.prefillMillis() + work.outputMillis();
+            outputs.put(request, new Output(nowMillis, work.outputMillis()));
             backlog = backlog.with(work.priority(), -work.prefillMillis());
         }
     }
 
     /** Records the end of a request that was counted as sent. */
-    public synchronized void recordEnded(Object request, RequestWork work) {
-        recordResponseStarted(request, work);
+    public synchronized void recordEnded(Object request, RequestWork work, long nowMillis) {
+        recordResponseStarted(request, work, nowMillis);
+        outputs.remove(request);
         inFlight--;
         memoryTokens -= work.memoryTokens();
     }
@@ -91,13 +107,15 @@
     public synchronized UpstreamEstimate estimate(PeerTotal peers, long nowMillis) {
         double decayedOtherRequests =
                 otherRequests * decayFactor(nowMillis - lastReportMillis, OTHERS_HALF_LIFE_MILLIS);
+        double others = Math.max(decayedOtherRequests, peers.inFlight());
         return new UpstreamEstimate(
-                inFlight + Math.max(decayedOtherRequests, peers.inFlight()),
+                inFlight + others,
                 backlog.plus(peers.backlog()),
                 speed.pace(nowMillis).plus(peers.pace()).durationPercent(),
                 Math.max(oldestUnansweredMillis(nowMillis), peers.confirmedUnansweredMillis()),
                 failures(nowMillis) + peers.failures(),
-                memoryTokens + peers.memoryTokens());
+                memoryTokens + peers.memoryTokens(),
+                remainingMillis(nowMillis) + othersRemainingMillis(peers, others));
     }
 
     /** Returns the load to announce to the other routers. */
@@ -109,9 +127,25 @@
                 (int) oldestUnansweredMillis(nowMillis),
                 failures(nowMillis),
                 memoryTokens,
+                remainingMillis(nowMillis),
                 speed.pace(nowMillis));
     }
 
+    private double remainingMillis(long nowMillis) {
+        double running = outputs.values().stream()
+                .mapToDouble(output -> output.remainingMillis(nowMillis))
+                .sum();
+        return Math.max(0, unansweredMillis) + running;
+    }
+
+    // Requests that only the upstream's report shows have as much work left as those that other routers report.
+    private static double othersRemainingMillis(PeerTotal peers, double others) {
+        double perRequest = peers.inFlight() > 0 && peers.remainingMillis() > 0
+                ? peers.remainingMillis() / peers.inFlight()
+                : RequestWork.ASSUMED_OUTPUT_MILLIS / 2;
+        return others * perRequest;
+    }
+
     private long oldestUnansweredMillis(long nowMillis) {
         return unansweredSinceMillis.values().stream()
                 .mapToLong(since -> nowMillis - since)
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/UpstreamChooser.java
@@ -33,8 +33,6 @@
     private static final double REPEATED_PREFILL_SHARE = 0.6;
     // Cost of an upstream whose slots are all in use compared with an idle one, in addition to queueing.
     private static final double FULL_UTILISATION_MILLIS = 20;
-    // Time for which a request that generates some tens of tokens occupies a slot.
-    private static final double SLOT_OCCUPANCY_MILLIS = 120;
     // Cost of delaying one running stream by one millisecond: the caller already has its first tokens, but the stream
     // holds its slot and its memory for longer.
     private static final double DELAYED_STREAM_WEIGHT = 0.015;
@@ -157,7 +155,7 @@
     private static double normalQueueMillis(Candidate candidate, PromptRequest request) {
         UpstreamEstimate load = candidate.estimate();
         int slots = Math.max(1, request.profile().slots());
-        double slotWait = Math.max(0, load.requests() + 1 - slots) * SLOT_OCCUPANCY_MILLIS / slots;
+        double slotWait = load.slotWaitMillis(slots);
         double utilisation = load.requests() / slots * FULL_UTILISATION_MILLIS;
         double prefill = load.backlog().millisAhead(request.priority());
         return prefill + slotWait + utilisation;
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/ChoiceSimulation.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/ChoiceSimulation.java
@@ -282,13 +282,13 @@
             if (job.firstTokenMillis <= now && !job.isObserved) {
                 job.isObserved = true;
                 SimulatedEngine engine = engines.get(sent.engine());
-                load.recordResponseStarted(job, sent.work());
+                load.recordResponseStarted(job, sent.work(), now);
                 load.recordReport(
                         engine.running(), engine.requests() - engine.running(), slowness[sent.engine()] * PERCENT, now);
                 sent.choice().ifPresent(choice -> learn(sent, choice, now));
             }
             if (job.endMillis <= now) {
-                load.recordEnded(job, sent.work());
+                load.recordEnded(job, sent.work(), now);
                 inFlight.remove(sent);
             }
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
@@ -41,7 +41,8 @@
                 .addAllPrefillMillis(load.backlog().wholeMillisByPriority())
                 .setSilentMillis(load.oldestUnansweredMillis())
                 .setFailuresPercent((int) Math.round(load.failures() * PERCENT))
-                .setMemoryTokens(load.memoryTokens());
+                .setMemoryTokens(load.memoryTokens())
+                .setRemainingMillis((int) Math.round(load.remainingMillis()));
         addPace(entry, load.pace());
         return entry.build();
     }
@@ -91,6 +92,7 @@
                         entry.getSilentMillis(),
                         entry.getFailuresPercent() / PERCENT,
                         entry.getMemoryTokens(),
+                        Math.max(0, entry.getRemainingMillis()),
                         pace(entry)))
                 .toList();
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -153,7 +153,7 @@
 
     private void readHead(Response response) {
         responseStarted = true;
-        load.recordResponseStarted(this, work);
+        load.recordResponseStarted(this, work, context.timers().monotonicMillis());
         UpstreamResponse upstreamResponse =
                 context.ports().upstreamProtocol().decode(response.getStatus(), response.getHeaders());
         long nowMillis = context.timers().monotonicMillis();
@@ -210,7 +210,7 @@
     private boolean recordEnd() {
         boolean isFirst = ended.compareAndSet(false, true);
         if (isFirst) {
-            load.recordEnded(this, work);
+            load.recordEnded(this, work, context.timers().monotonicMillis());
         }
         return isFirst;
     }
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/DigestDatagramsTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/DigestDatagramsTest.java
@@ -120,7 +120,7 @@
     public void speedArrivesWithItsWeightAndAge() throws Exception {
         UpstreamPace pace = new UpstreamPace(DurationEvidence.ofMeans(2.5, 1.6, 1.2), new ReportedSlowness(250, 120));
         DigestContent content = new DigestContent(
-                List.of(new PeerLoad(Long.MIN_VALUE, 1, PrefillBacklog.EMPTY, 0, 0, 0, pace), load(2)),
+                List.of(new PeerLoad(Long.MIN_VALUE, 1, PrefillBacklog.EMPTY, 0, 0, 0, 70, pace), load(2)),
                 0,
                 DigestEvents.NONE,
                 RolloutHints.NONE,
@@ -129,6 +129,7 @@
         List<PeerLoad> decoded = DigestCodec.loads(
                 LoadDigest.parseFrom(DigestDatagrams.encode(header(1), content).get(0)));
         assertEquals(decoded.get(0).pace().durationPercent(), pace.durationPercent(), 1);
+        assertEquals(decoded.get(0).remainingMillis(), 70.0);
         assertEquals(decoded.get(0).pace().slowness(), pace.slowness());
         assertEquals(decoded.get(1).pace(), UpstreamPace.UNKNOWN);
     }
