Learn the output of prompts and the service time of calls

OutputTokens estimates the number of events of a stream from the caller's estimate (Length-Hint) and from earlier requests of the same route and account, each weighed by its own earlier errors, as a median and a 0.9 quantile. An account adds little to the distribution of its route once it has sent some requests, so its outliers do not change the estimate of others. The number of accounts and routes is bounded. ServiceTimes keeps the median time of calls without a queue, and the median time for each event, by service. RequestCost holds this for one request and takes over the learning from responses; ForwardCall becomes shorter. The error is the histogram output_by_expected_percent.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventFramer.java
@@ -77,6 +77,11 @@
         return scanner.hasEvent();
     }
 
+    /** Number of whole events since the start or since a dropped event. */
+    public int events() {
+        return scanner.events();
+    }
+
     /** Returns the id of the last complete event. */
     public Optional<String> lastEventId() {
         return Optional.ofNullable(lastEventId);
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventScanner.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventScanner.java
@@ -9,7 +9,7 @@
     private boolean isLineEmpty = true;
     private boolean isComment;
     private boolean isEventOpen;
-    private boolean hasEvent;
+    private int events;
 
     /** Scans the next bytes and returns the offset after the last event that ends in them, or 0 when none does. */
     public int scan(byte[] bytes) {
@@ -18,7 +18,7 @@
             if (bytes[i] == '\n') {
                 if (isLineEmpty) {
                     end = i + 1;
-                    hasEvent |= isEventOpen;
+                    events += isEventOpen ? 1 : 0;
                     isEventOpen = false;
                 } else {
                     isEventOpen |= !isComment;
@@ -39,13 +39,18 @@
 
     /** Whether the scanned bytes contain a whole event. */
     public boolean hasEvent() {
-        return hasEvent;
+        return events > 0;
+    }
+
+    /** Number of whole events that were scanned. */
+    public int events() {
+        return events;
     }
 
     /** Continues at the begin of an event, as at the start of another stream. */
     public void restart() {
         isLineEmpty = true;
         isEventOpen = false;
-        hasEvent = false;
+        events = 0;
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -5,13 +5,11 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetUpstream;
-import io.agatelane.core.fleet.Interference;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.command.CrashSuspects;
-import io.agatelane.core.fleet.command.NormalDuration;
 import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
@@ -52,15 +50,12 @@
  */
 final class ForwardCall implements UpstreamAttempt.Listener {
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
-    private static final double PERCENT = 100;
     // Failed connects do not count as attempts, but a request must not try every upstream of a fleet that is down.
     private static final int MAX_FAILED_CONNECTS = 3;
     // Shortest time that is worth an attempt: a round trip between zones and the fastest response.
     private static final long MIN_ATTEMPT_MILLIS = 15;
     // The next read of the store verifies the configuration again.
     private static final long STALE_CONFIG_RETRY_MILLIS = 500;
-    // An engine with a shorter queue begins the prefill with its next step.
-    private static final double MAX_IDLE_QUEUE_MILLIS = 10;
     // Longest wait for room at an engine, as a share of the latency objective; the rest is for the prefill.
     private static final double MAX_WAIT_SHARE = 0.7;
 
@@ -81,6 +76,8 @@
     private final UpstreamSelection selection;
     private final List<Long> sharedParts;
 
+    private final RequestCost cost;
+
     private Optional<PrefixLocator> prefixLocator = Optional.empty();
     private Optional<String> saveTo = Optional.empty();
     private CallerDisconnectMonitor disconnectMonitor;
@@ -131,6 +128,7 @@
         this.sharedParts = caller.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
                 .map(PartSuspects::fingerprint)
                 .toList();
+        this.cost = new RequestCost(context, caller, route, account, service);
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
     }
 
@@ -268,7 +266,8 @@
         long memoryTokens = prefixLocator.isPresent()
                 ? caller.prompt().map(EngineRoom::tokens).orElse(0L)
                 : 0;
-        RequestWork work = new RequestWork(priority, choice.prefillMillis(), memoryTokens);
+        RequestWork work = new RequestWork(
+                priority, choice.prefillMillis(), cost.outputMillis(prefixLocator.isPresent()), memoryTokens);
         UpstreamAttempt attempt = new UpstreamAttempt(context, choice, work, attempts + 1, this);
         current = attempt;
         ForwardLog.sent(context, caller.id(), attempt.number(), choice, snapshot);
@@ -326,8 +325,7 @@
         }
         if (!failed) {
             load.recordSuccess(now);
-            recordPrefillSpeed(attempt, now);
-            recordDuration(attempt, now);
+            cost.recordResponse(attempt, prefixLocator, now);
             prefixLocator.ifPresent(
                     locator -> locator.placementsAfterPrefill(attempt.choice().candidate(), saveTo.isPresent())
                             .forEach(context.state().placements()::recordLocal));
@@ -343,28 +341,6 @@
         return true;
     }
 
-    private void recordPrefillSpeed(UpstreamAttempt attempt, long now) {
-        if (attempt.choice().queueMillis() < MAX_IDLE_QUEUE_MILLIS) {
-            prefixLocator
-                    .map(locator -> locator.prefillTokens(attempt.choice().candidate()))
-                    .ifPresent(tokens -> tokens.ifPresent(
-                            count -> context.prefillSpeed(service).record(count, now - attempt.startedMillis())));
-        }
-    }
-
-    private void recordDuration(UpstreamAttempt attempt, long now) {
-        UpstreamChoice choice = attempt.choice();
-        long observedMillis = now - attempt.startedMillis();
-        NormalDuration.Sample sample = context.normalDuration(service).record(observedMillis, choice.normalMillis());
-        Interference interference = choice.interference();
-        double normalMillis =
-                observedMillis * PERCENT / choice.candidate().estimate().durationPercent();
-        double withoutOthersMillis = choice.normalMillis() - interference.delayMillis();
-        context.interference(service).record(interference.workMillis(), normalMillis - withoutOthersMillis);
-        context.state().load(attempt.upstream()).recordDuration(sample.factor(), sample.weight(), now);
-        ForwardLog.firstByte(context, choice, observedMillis);
-    }
-
     private void clearSuspicion() {
         if (!context.state().suspects().isEmpty()) {
             context.state().suspects().recordSuccess(fingerprint());
@@ -458,6 +434,7 @@
             context.state()
                     .partSuspects()
                     .recordAnswer(sharedParts, context.timers().monotonicMillis());
+            cost.recordOutput(attempts, relayedBody.events(), context.timers().monotonicMillis());
         }
         commit();
         byte[] rest = relayedBody.takeRemaining();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -2,8 +2,10 @@
 
 import com.codahale.metrics.MetricRegistry;
 import io.agatelane.core.fleet.command.NormalDuration;
+import io.agatelane.core.fleet.command.OutputTokens;
 import io.agatelane.core.fleet.command.PrefillInterference;
 import io.agatelane.core.fleet.command.PrefillSpeed;
+import io.agatelane.core.fleet.command.ServiceTimes;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
 import io.agatelane.node.api.FleetPorts;
@@ -18,6 +20,10 @@
 public final class ForwardContext {
     // Part of the ratio that is used, so that requests which the check of the budget does not count cannot exceed it.
     private static final double USED_RETRY_RATIO_PART = 0.7;
+    // Assumed before any was observed.
+    private static final double ASSUMED_CALL_MILLIS = 40;
+    private static final double ASSUMED_EVENT_MILLIS = 8;
+
     private volatile FleetSettings settings;
     private final FleetPorts ports;
     private final FleetState state;
@@ -29,6 +35,9 @@
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
     private final Map<String, NormalDuration> normalDurations = new ConcurrentHashMap<>();
     private final Map<String, PrefillInterference> interferences = new ConcurrentHashMap<>();
+    private final Map<String, ServiceTimes> callTimes = new ConcurrentHashMap<>();
+    private final Map<String, ServiceTimes> eventTimes = new ConcurrentHashMap<>();
+    private final OutputTokens outputTokens = new OutputTokens();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
     private volatile boolean draining;
     private volatile boolean refusing;
@@ -110,6 +119,21 @@
         return interferences.computeIfAbsent(service, name -> new PrefillInterference());
     }
 
+    /** Time that calls without a prompt take at the upstreams of a service. */
+    ServiceTimes callTimes(String service) {
+        return callTimes.computeIfAbsent(service, name -> new ServiceTimes(ASSUMED_CALL_MILLIS));
+    }
+
+    /** Time between two events of a stream of a service. */
+    ServiceTimes eventTimes(String service) {
+        return eventTimes.computeIfAbsent(service, name -> new ServiceTimes(ASSUMED_EVENT_MILLIS));
+    }
+
+    /** Expected length of outputs. */
+    OutputTokens outputTokens() {
+        return outputTokens;
+    }
+
     /** Budget of retries to a service. */
     WindowedRetryBudget budget(String service) {
         return budgets.computeIfAbsent(
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -2,6 +2,7 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.fleet.FleetConfig;
+import io.agatelane.core.fleet.OutputEstimate;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.PromptPart;
 import io.agatelane.core.fleet.Route;
@@ -75,6 +76,13 @@
                 .update(Math.round(observedMillis / expectedMillis * PERCENT));
     }
 
+    /** Records how the length of an output compares with the expected one. */
+    static void output(ForwardContext context, OutputEstimate expected, int events) {
+        context.metrics()
+                .histogram("output_by_expected_percent")
+                .update(Math.round(events / expected.tokens() * PERCENT));
+    }
+
     /** Logs that a request waits because no engine has memory for its prompt. */
     static void waiting(ForwardContext context, String id, long expectedMillis, long maxMillis) {
         LOG.event("request_waiting")
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
@@ -108,6 +108,11 @@
         return hasEvent() || lastEventId().isPresent();
     }
 
+    /** Number of whole events of the current attempt. */
+    int events() {
+        return framer.map(EventFramer::events).orElseGet(scanner::events);
+    }
+
     private boolean hasEvent() {
         return framer.map(EventFramer::hasEvent).orElseGet(scanner::hasEvent);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -28,9 +28,6 @@
     /** Shortest retry delay for callers of a busy service; a queue advances by some requests in this time. */
     static final long BUSY_RETRY_MILLIS = 150;
 
-    // Assumed run time of a call without a prompt before any was observed.
-    private static final double DEFAULT_CALL_MILLIS = 40;
-
     private final ForwardContext context;
     private final CallerRequest caller;
     private final Route route;
@@ -93,7 +90,7 @@
                     selectEngine(snapshot, isFirst ? engines : engines.withoutRoomLimit(), prompt.get(), engine.get());
         } else {
             selected = context.chooser()
-                    .chooseForCall(candidates, DEFAULT_CALL_MILLIS)
+                    .chooseForCall(candidates, context.callTimes(service).millis())
                     .map(choice -> new Selected(choice, Optional.empty()));
         }
         if (selected.isEmpty()) {
