Merge remaining work of upstreams and learned output and service times

The guard against crashing requests, the bounds on bytes held and the cost of requests meet in ForwardCall; none of them changes. EventScanner counts events and recognizes carriage returns.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventScanner.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/EventScanner.java
@@ -10,7 +10,7 @@
     private boolean isLineEmpty = true;
     private boolean isComment;
     private boolean isEventOpen;
-    private boolean hasEvent;
+    private int events;
     private boolean isAfterReturn;
     private boolean isAfterEvent;
 
@@ -38,7 +38,7 @@
     private boolean endLine() {
         isAfterEvent = isLineEmpty;
         if (isLineEmpty) {
-            hasEvent |= isEventOpen;
+            events += isEventOpen ? 1 : 0;
             isEventOpen = false;
         } else {
             isEventOpen |= !isComment;
@@ -54,14 +54,19 @@
 
     /** Whether the scanned bytes contain a whole event. */
     public boolean hasEvent() {
-        return hasEvent;
+        return events > 0;
+    }
+
+    /** Number of whole events that were scanned. */
+    public int events() {
+        return events;
     }
 
     /** Continues at the begin of an event, as at the start of another stream. */
     public void restart() {
         isLineEmpty = true;
         isEventOpen = false;
-        hasEvent = false;
+        events = 0;
         isAfterReturn = false;
         isAfterEvent = false;
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -6,12 +6,10 @@
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
-import io.agatelane.core.fleet.Interference;
 import io.agatelane.core.fleet.PriorityLevels;
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
-import io.agatelane.core.fleet.command.NormalDuration;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EngineRoom;
@@ -48,15 +46,12 @@
  */
 final class ForwardCall implements UpstreamAttempt.Listener {
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
-    private static final double PERCENT = 100;
     // Failed connects do not count as attempts, but a request must not try every upstream of a fleet that is down.
     private static final int MAX_FAILED_CONNECTS = 3;
     // Shortest time that is worth an attempt: a round trip between zones and the fastest response.
     private static final long MIN_ATTEMPT_MILLIS = 15;
     // The next read of the store verifies the configuration again.
     private static final long STALE_CONFIG_RETRY_MILLIS = 500;
-    // An engine with a shorter queue begins the prefill with its next step.
-    private static final double MAX_IDLE_QUEUE_MILLIS = 10;
     // Longest wait for room at an engine, as a share of the latency objective; the rest is for the prefill.
     private static final double MAX_WAIT_SHARE = 0.7;
 
@@ -78,6 +73,8 @@
     private final UpstreamSelection selection;
     private final CrashGuard crashGuard;
 
+    private final RequestCost cost;
+
     private Optional<PrefixLocator> prefixLocator = Optional.empty();
     private Optional<String> saveTo = Optional.empty();
     private CallerDisconnectMonitor disconnectMonitor;
@@ -132,6 +129,7 @@
         this.callback = Callback.from(callback, relayedBody::release);
         this.unreadWatch = new UnreadWatch(context, request, response, this::onCallerNotReading);
         this.crashGuard = new CrashGuard(context, request, caller, account, body);
+        this.cost = new RequestCost(context, caller, route, account, service);
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
     }
 
@@ -247,7 +245,8 @@
         long memoryTokens = prefixLocator.isPresent()
                 ? caller.prompt().map(EngineRoom::tokens).orElse(0L)
                 : 0;
-        RequestWork work = new RequestWork(priority, choice.prefillMillis(), memoryTokens);
+        RequestWork work = new RequestWork(
+                priority, choice.prefillMillis(), cost.outputMillis(prefixLocator.isPresent()), memoryTokens);
         if (!context.upstreamBytes().tryTake(key, body.length)) {
             // Another request has taken the room since the choice.
             dispatch();
@@ -317,8 +316,7 @@
         }
         if (!failed) {
             load.recordSuccess(now);
-            recordPrefillSpeed(attempt, now);
-            recordDuration(attempt, now);
+            cost.recordResponse(attempt, prefixLocator, now);
             prefixLocator.ifPresent(
                     locator -> locator.placementsAfterPrefill(attempt.choice().candidate(), saveTo.isPresent())
                             .forEach(context.state().placements()::recordLocal));
@@ -334,28 +332,6 @@
         return true;
     }
 
-    private void recordPrefillSpeed(UpstreamAttempt attempt, long now) {
-        if (attempt.choice().queueMillis() < MAX_IDLE_QUEUE_MILLIS) {
-            prefixLocator
-                    .map(locator -> locator.prefillTokens(attempt.choice().candidate()))
-                    .ifPresent(tokens -> tokens.ifPresent(
-                            count -> context.prefillSpeed(service).record(count, now - attempt.startedMillis())));
-        }
-    }
-
-    private void recordDuration(UpstreamAttempt attempt, long now) {
-        UpstreamChoice choice = attempt.choice();
-        long observedMillis = now - attempt.startedMillis();
-        NormalDuration.Sample sample = context.normalDuration(service).record(observedMillis, choice.normalMillis());
-        Interference interference = choice.interference();
-        double normalMillis =
-                observedMillis * PERCENT / choice.candidate().estimate().durationPercent();
-        double withoutOthersMillis = choice.normalMillis() - interference.delayMillis();
-        context.interference(service).record(interference.workMillis(), normalMillis - withoutOthersMillis);
-        context.state().load(attempt.upstream()).recordDuration(sample.factor(), sample.weight(), now);
-        ForwardLog.firstByte(context, choice, observedMillis);
-    }
-
     private void recordRefusal(UpstreamAttempt attempt, UpstreamResponse upstreamResponse) {
         boolean otherUpstream = upstreamResponse
                 .upstreamId()
@@ -439,6 +415,9 @@
         crashGuard.recordComplete(
                 status < HttpStatus.INTERNAL_SERVER_ERROR_500,
                 prefixLocator.isPresent() && HttpStatus.isSuccess(status));
+        if (prefixLocator.isPresent() && HttpStatus.isSuccess(status)) {
+            cost.recordOutput(attempts, relayedBody.events(), context.timers().monotonicMillis());
+        }
         commit();
         byte[] rest = relayedBody.takeRemaining();
         finish("answered");
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -172,7 +172,7 @@
 
     private void readHead(Response response) {
         responseStarted = true;
-        load.recordResponseStarted(this, work);
+        load.recordResponseStarted(this, work, context.timers().monotonicMillis());
         UpstreamResponse upstreamResponse =
                 context.ports().upstreamProtocol().decode(response.getStatus(), response.getHeaders());
         long nowMillis = context.timers().monotonicMillis();
@@ -241,7 +241,7 @@
     private boolean recordEnd() {
         boolean isFirst = ended.compareAndSet(false, true);
         if (isFirst) {
-            load.recordEnded(this, work);
+            load.recordEnded(this, work, context.timers().monotonicMillis());
             context.upstreamBytes().release(upstream().key(), bodyBytes);
         }
         return isFirst;
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
@@ -51,7 +51,9 @@
                 long now = cluster.control.monotonicMillis();
                 waiting.removeIf(router -> router.estimatedRequests() > 0.5 && ages.add(now - sentMillis));
             }
-            sender.state.load(sender.upstream()).recordEnded(request, new RequestWork(0, 10, 0));
+            sender.state
+                    .load(sender.upstream())
+                    .recordEnded(request, new RequestWork(0, 10, 0), cluster.control.monotonicMillis());
         }
         Collections.sort(ages);
         long p99 = ages.get(ages.size() * 99 / 100);
