Limit client accounts over all routers

Each router estimates the level of one token bucket per account for the whole fleet, from its own admissions and the rates that the others gossip. While the level covers the demand until the next reports arrive, every request is admitted; otherwise all routers admit the same fraction of the demand, drawn at random independent of the size of a request.

A request is checked before its first attempt and charged for each attempt that may run at an upstream. Accounts without a limit take no part.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetAccount.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetAccount.java
@@ -1,5 +1,6 @@
 package io.agatelane.core.fleet;
 
+import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.core.limits.AccountLimit;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -11,4 +12,9 @@
  * @param isolated whether its cached prompt parts are not shared with other accounts
  * @param limit rate limit over all routers; empty when there is none
  */
-public record FleetAccount(String name, OptionalInt priority, boolean isolated, Optional<AccountLimit> limit) {}
+public record FleetAccount(String name, OptionalInt priority, boolean isolated, Optional<AccountLimit> limit) {
+    /** Hash of the name, as in digests. */
+    public long nameHash() {
+        return Rendezvous.hash(name);
+    }
+}
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetConfig.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetConfig.java
@@ -1,6 +1,8 @@
 package io.agatelane.core.fleet;
 
+import io.agatelane.core.limits.AccountLimit;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -15,6 +17,7 @@
     private final Map<String, FleetService> services;
     private final List<CacheStore> cacheStores;
     private final Map<String, FleetAccount> accountsByKey;
+    private final Map<Long, AccountLimit> accountLimits = new HashMap<>();
     private final boolean hasAccounts;
     private final CallerLimits limits;
 
@@ -36,6 +39,8 @@
         this.services = Map.copyOf(services);
         this.cacheStores = List.copyOf(cacheStores);
         this.accountsByKey = Map.copyOf(accountsByKey);
+        accountsByKey.values().forEach(account -> account.limit()
+                .ifPresent(limit -> accountLimits.put(account.nameHash(), limit)));
         this.hasAccounts = hasAccounts;
         this.limits = limits;
         for (Route route : routes) {
@@ -76,6 +81,11 @@
         return Optional.ofNullable(accountsByKey.get(key));
     }
 
+    /** Rate limits of the accounts that have one, by hash of the account's name. */
+    public Map<Long, AccountLimit> accountLimits() {
+        return Collections.unmodifiableMap(accountLimits);
+    }
+
     /** Whether requests to routes that are not public need an API key. */
     public boolean requiresApiKey() {
         return hasAccounts;
--- a/agatelane-core/src/main/java/io/agatelane/core/limits/AccountLimit.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/limits/AccountLimit.java
@@ -1,5 +1,6 @@
 package io.agatelane.core.limits;
 
+import java.util.Locale;
 import java.util.OptionalLong;
 
 /**
@@ -27,6 +28,11 @@
             }
         };
 
+        /** Name for messages, in the plural. */
+        public String plural() {
+            return name().toLowerCase(Locale.ROOT);
+        }
+
         abstract long units(OptionalLong tokens, long defaultTokens);
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -104,6 +104,7 @@
                 control.epochMillis(),
                 (target, packet) -> gossipSocket.send(target, packet),
                 metrics);
+        gossip.setDemands(new ReportedDemands(state, context.accountLimiter()));
         cacheStoreProbe = new CacheStoreProbe(state, registry, ports.engineControl(), control, control);
         RolloutLeadership leadership = new RolloutLeadership(
                 ports.store(),
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
@@ -0,0 +1,61 @@
+package io.agatelane.node.forward;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.FleetAccount;
+import io.agatelane.core.limits.AccountLimit;
+import io.agatelane.core.limits.RateDecision;
+import io.agatelane.core.limits.command.AccountRateLimiter.LimitedRequest;
+import io.agatelane.node.api.CallerRequest;
+import java.util.Optional;
+
+/** Applies the rate limit of its account to one request. Does nothing for a request without one. */
+final class AccountAdmission {
+    private final ForwardContext context;
+    private final String requestId;
+    private final Optional<FleetAccount> account;
+    private final Optional<LimitedRequest> limited;
+    private boolean wasSent;
+
+    AccountAdmission(ForwardContext context, CallerRequest caller, Optional<FleetAccount> account, long arrivedMillis) {
+        this.context = context;
+        this.requestId = caller.id();
+        this.account = account;
+        this.limited = account.flatMap(FleetAccount::limit).map(limit -> context.accountLimiter()
+                .arrive(account.get().nameHash(), limit, limit.units(caller.totalTokens()), arrivedMillis));
+    }
+
+    /**
+     * Checks a request that has not been sent yet.
+     *
+     * @throws AgatelaneException with {@code ACCOUNT_LIMIT} and the time after which to retry
+     */
+    void check(long nowMillis) {
+        if (limited.isEmpty() || wasSent) {
+            return;
+        }
+        RateDecision decision = context.accountLimiter().decide(limited.get(), nowMillis);
+        if (decision.admitted()) {
+            return;
+        }
+        AccountLimit limit = limited.get().limit();
+        String name = account.map(FleetAccount::name).orElseThrow();
+        ForwardLog.accountRefused(context, requestId, name, limited.get(), decision);
+        throw new AgatelaneException(
+                        FailureType.ACCOUNT_LIMIT,
+                        "account " + name + " exceeds its limit of " + limit.ratePerSecond() + " "
+                                + limit.unit().plural() + " per second")
+                .withRetryAfterMillis(decision.retryAfterMillis());
+    }
+
+    /** Records an attempt: each one may run at an upstream. */
+    void recordSent(long nowMillis) {
+        wasSent = true;
+        limited.ifPresent(request -> context.accountLimiter().recordSent(request, nowMillis));
+    }
+
+    /** Records that the last attempt was not run. */
+    void recordNotRun(long nowMillis) {
+        limited.ifPresent(request -> context.accountLimiter().recordNotRun(request, nowMillis));
+    }
+}
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -76,6 +76,7 @@
     private final int priority;
     private final RelayedBody relayedBody;
     private final UpstreamSelection selection;
+    private final AccountAdmission admission;
     private final List<Long> sharedParts;
 
     private Optional<PrefixLocator> prefixLocator = Optional.empty();
@@ -129,6 +130,7 @@
                 .map(PartSuspects::fingerprint)
                 .toList();
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
+        this.admission = new AccountAdmission(context, caller, account, arrivedMillis);
     }
 
     /** Starts the deadline and makes the first attempt. */
@@ -154,6 +156,7 @@
             FleetSnapshot snapshot = context.state().snapshot();
             checkConfigAge(snapshot);
             checkCrashes(now);
+            admission.check(now);
             Optional<UpstreamSelection.Selected> selected =
                     selection.select(snapshot, tried, attempts == 0, isWaiting, now, leftMillis);
             if (selected.isEmpty()) {
@@ -268,6 +271,7 @@
         RequestWork work = new RequestWork(priority, choice.prefillMillis(), memoryTokens);
         UpstreamAttempt attempt = new UpstreamAttempt(context, choice, work, attempts + 1, this);
         current = attempt;
+        admission.recordSent(context.timers().monotonicMillis());
         ForwardLog.sent(context, caller.id(), attempt.number(), choice, snapshot);
         attempt.start(request.getMethod(), request.getHttpURI().getPathQuery(), headers, body, hasBody);
     }
@@ -303,6 +307,7 @@
         // A refusal of another request says nothing about this one, which the upstream may be running.
         if (upstreamResponse.notExecuted() && !check.isOfOtherRequest()) {
             recordRefusal(attempt, upstreamResponse);
+            admission.recordNotRun(now);
             attempts++;
             retryOrFail(attempt, "not_run", "status " + newStatus);
             return false;
@@ -456,6 +461,7 @@
         context.state().load(attempt.upstream()).recordFailure(context.timers().monotonicMillis());
         if (!attempt.mayHaveBeenSent()) {
             failedConnects++;
+            admission.recordNotRun(context.timers().monotonicMillis());
             ForwardLog.attemptEnded(
                     caller.id(), attempt.number(), attempt.upstream().key(), "not_sent", failure.toString());
             if (failedConnects <= MAX_FAILED_CONNECTS) {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,15 +1,21 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.command.PeerLoads;
 import io.agatelane.core.fleet.command.PrefillSpeed;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
+import io.agatelane.core.limits.AccountDemand;
+import io.agatelane.core.limits.LimitMargin;
+import io.agatelane.core.limits.command.AccountRateLimiter;
 import io.agatelane.node.api.FleetPorts;
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.cfg.FleetSettings;
 import io.agatelane.node.fleet.FleetState;
+import java.util.EnumSet;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 
 /** State that all requests of a router share. */
@@ -26,6 +32,7 @@
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
+    private final AccountRateLimiter accountLimiter;
     private volatile boolean draining;
     private volatile boolean refusing;
 
@@ -45,6 +52,25 @@
         this.client = client;
         this.timers = timers;
         this.metrics = metrics;
+        this.accountLimiter =
+                new AccountRateLimiter(new KnownFleet(), RandomGenerator.getDefault(), timers.monotonicMillis());
+    }
+
+    private final class KnownFleet implements AccountRateLimiter.Fleet {
+        @Override
+        public Map<Long, AccountDemand> others(long nowMillis) {
+            return state.peerAccounts().sums(EnumSet.allOf(PeerLoads.Source.class), Map.of(), nowMillis);
+        }
+
+        @Override
+        public int registeredRouters() {
+            return state.routerCount();
+        }
+
+        @Override
+        public LimitMargin margin() {
+            return new LimitMargin(settings.limitWindowMillis(), settings.limitTolerance(), settings.limitSlack());
+        }
     }
 
     /** Applies changed settings to requests that come from now on. */
@@ -81,6 +107,11 @@
         return metrics;
     }
 
+    /** Rate limits of client accounts. */
+    public AccountRateLimiter accountLimiter() {
+        return accountLimiter;
+    }
+
     /** Takes one retry to a service from its budget; false when the budget is used up. */
     boolean tryTakeRetry(String service, long nowMillis) {
         return budget(service).tryTake(nowMillis, state.routerCount());
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -8,6 +8,8 @@
 import io.agatelane.core.fleet.command.UpstreamNotices;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.UpstreamChoice;
+import io.agatelane.core.limits.RateDecision;
+import io.agatelane.core.limits.command.AccountRateLimiter.LimitedRequest;
 import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.fleet.FleetSnapshot;
 import io.agatelane.node.util.EventLog;
@@ -73,6 +75,24 @@
         context.metrics().counter("requests_waiting_total").inc();
     }
 
+    /** Logs a request that was refused because its account exceeds its rate limit. */
+    static void accountRefused(
+            ForwardContext context, String id, String account, LimitedRequest request, RateDecision decision) {
+        LOG.event("account_limit")
+                .with("id", id)
+                .with("account", account)
+                .with("unit", request.limit().unit().plural())
+                .with("units", request.units())
+                .with("rate", request.limit().ratePerSecond())
+                .with("admitted_fraction", decision.fraction())
+                .with("fleet_demand", decision.demandPerSecond())
+                .with("level", decision.level())
+                .with("share", decision.share())
+                .with("retry_after_ms", decision.retryAfterMillis())
+                .info();
+        context.metrics().counter("account_limit_refused_units_total").inc(request.units());
+    }
+
     /** Logs that an upstream has announced that it leaves. */
     static void upstreamLeaving(ForwardContext context, String upstream, int status) {
         LOG.event("upstream_leaving")
