Subtract from a relay's sums what they contain of the own demand

Cause: a router subtracted the demand that it had sent last from the sums of its relay, which contain an earlier one.

The digests sent are kept by sequence, and the one that the relay responds to is subtracted. The account limiter keeps the last reports for 500 ms while another relay takes over, so that a router does not fall back to an equal part for one missing digest.

--- a/agatelane-core/src/main/java/io/agatelane/core/limits/command/AccountRateLimiter.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/limits/command/AccountRateLimiter.java
@@ -30,6 +30,8 @@
     private static final double HORIZON_SECONDS = 1.5;
     // Reports arrive every 200 ms from each sender.
     private static final long REFRESH_MILLIS = 50;
+    // Two digests of the relay that takes over.
+    private static final long RELAY_CHANGE_MILLIS = 500;
     // After a longer pause, for example of the VM, what the other routers have admitted meanwhile is not known.
     static final long MAX_PAUSE_MILLIS = 2_000;
     private static final long MIN_RETRY_MILLIS = 50;
@@ -41,6 +43,7 @@
     private long knownSinceMillis;
     private Map<Long, AccountDemand> others = Map.of();
     private long refreshedMillis;
+    private long contactMillis;
 
     /** What is known of the other routers. */
     public interface Fleet {
@@ -74,6 +77,7 @@
         this.random = random;
         this.knownSinceMillis = startMillis;
         this.refreshedMillis = startMillis - REFRESH_MILLIS;
+        this.contactMillis = startMillis - RELAY_CHANGE_MILLIS - 1;
     }
 
     /** Records the demand of a request that has arrived, which {@link #decide} may refuse later. */
@@ -203,7 +207,15 @@
             knownSinceMillis = nowMillis;
         }
         if (nowMillis - refreshedMillis >= REFRESH_MILLIS) {
-            others = Map.copyOf(fleet.others(nowMillis));
+            Map<Long, AccountDemand> newest = fleet.others(nowMillis);
+            if (newest.containsKey(AccountDemand.ROUTERS)) {
+                contactMillis = nowMillis;
+            }
+            // The last reports hold while another relay takes over.
+            if (nowMillis - contactMillis <= RELAY_CHANGE_MILLIS && !newest.containsKey(AccountDemand.ROUTERS)) {
+                newest = others;
+            }
+            others = Map.copyOf(newest);
             refreshedMillis = nowMillis;
         }
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -298,6 +298,10 @@
                     // A former relay of this router; the current one sends the same content.
                     return;
                 }
+                // Only the first datagram of a digest has this field.
+                if (digest.getAnsweredSequence() > 0) {
+                    sentDigests.recordAnswered(digest.getAnsweredSequence());
+                }
                 update(
                         digest,
                         Source.RELAY,
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/SentDigests.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/SentDigests.java
@@ -27,19 +27,34 @@
     private final Map<Long, ClockReading> sendTimes = bounded(MAX_SEND_TIMES);
     private final Map<Placement, Boolean> placements = bounded(MAX_PLACEMENTS);
     private Map<Long, PeerLoad> loads = Map.of();
-    private Map<Long, AccountDemand> accounts = Map.of();
-    private Map<ServiceDemand.Key, ServiceDemand> services = Map.of();
+    private final Map<Long, Demands> demands = bounded(MAX_SEND_TIMES);
+    private Demands answered = new Demands(Map.of(), Map.of());
+
+    private record Demands(Map<Long, AccountDemand> accounts, Map<ServiceDemand.Key, ServiceDemand> services) {}
 
     void recordSent(long sequence, ClockReading sentAt, DigestContent content) {
         sendTimes.put(sequence, sentAt);
         Map<Long, PeerLoad> byUpstream = new HashMap<>();
         content.loads().forEach(load -> byUpstream.put(load.upstream(), load));
         loads = byUpstream;
-        accounts = content.accounts().stream().collect(Collectors.toMap(AccountDemand::account, Function.identity()));
-        services = content.services().stream().collect(Collectors.toMap(ServiceDemand::key, Function.identity()));
+        demands.put(
+                sequence,
+                new Demands(
+                        content.accounts().stream()
+                                .collect(Collectors.toMap(AccountDemand::account, Function.identity())),
+                        content.services().stream()
+                                .collect(Collectors.toMap(ServiceDemand::key, Function.identity()))));
         content.events().placements().forEach(placement -> placements.put(placement, true));
     }
 
+    /**
+     * Records which digest the relay responds to. Its sums contain the demands of this digest: a later one would leave
+     * a difference that looks like demand at other routers.
+     */
+    void recordAnswered(long sequence) {
+        answered = demands.getOrDefault(sequence, answered);
+    }
+
     /** When a digest was sent; empty when it is unknown or long ago. */
     Optional<ClockReading> sentAt(long sequence) {
         return Optional.ofNullable(sendTimes.get(sequence));
@@ -57,12 +72,12 @@
 
     /** The demands of accounts that a relay has forwarded, without this router's own part. */
     Map<Long, AccountDemand> accountsWithoutOwn(Map<Long, AccountDemand> relayed) {
-        return without(relayed, accounts, AccountDemand::minus);
+        return without(relayed, answered.accounts(), AccountDemand::minus);
     }
 
     /** The demands for services that a relay has forwarded, without this router's own part. */
     Map<ServiceDemand.Key, ServiceDemand> servicesWithoutOwn(Map<ServiceDemand.Key, ServiceDemand> relayed) {
-        return without(relayed, services, ServiceDemand::minus);
+        return without(relayed, answered.services(), ServiceDemand::minus);
     }
 
     private static <K, V> Map<K, V> without(Map<K, V> relayed, Map<K, V> own, BinaryOperator<V> minus) {
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
@@ -5,6 +5,9 @@
 
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import io.agatelane.core.fleet.RequestWork;
+import io.agatelane.core.fleet.command.PeerLoads.Source;
+import io.agatelane.core.limits.AccountDemand;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -13,6 +16,9 @@
 
 public class LoadGossipTest {
     private static final long PROPAGATION_MILLIS = 700;
+    private static final long ACCOUNT = 5;
+    private static final long MAX_DEMAND = 7_001;
+    private static final long CHANGE = 37;
 
     @DataProvider
     public Object[][] sizes() {
@@ -29,6 +35,30 @@
         cluster.routers.forEach(router -> assertEquals(router.estimatedRequests(), size, 0.01, router.entry.vm()));
     }
 
+    // Guards against a router that takes changes of its own demand for demand of the others, and against routers that
+    // are counted twice or not at all.
+    @Test(dataProvider = "sizes")
+    public void ownDemandIsNotCountedAsThatOfOthers(int size) {
+        GossipCluster cluster = new GossipCluster(size);
+        GossipCluster.Router only = cluster.routers.get(size - 1);
+        cluster.routers.forEach(router -> router.gossip.setDemands(new LoadGossip.OwnDemands() {
+            @Override
+            public List<AccountDemand> accounts(long nowMillis) {
+                long demand = router == only ? nowMillis * CHANGE % MAX_DEMAND : 0;
+                return List.of(AccountDemand.ofRouter(), new AccountDemand(ACCOUNT, demand, 0));
+            }
+        }));
+        cluster.control.advance(3_000);
+        for (int i = 0; i < 20; i++) {
+            cluster.control.advance(100);
+            Map<Long, AccountDemand> others = only.state
+                    .peerAccounts()
+                    .sums(EnumSet.allOf(Source.class), Map.of(), cluster.control.monotonicMillis());
+            assertEquals(others.get(ACCOUNT).demandPerSecond(), 0);
+            assertEquals(others.get(AccountDemand.ROUTERS).demandPerSecond(), size - 1);
+        }
+    }
+
     // Guards against traffic that grows with the square of the fleet, and against sums that cross zones many times.
     @Test
     public void packetsGrowWithTheFleet() {
