--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -322,7 +322,9 @@
                     // A former relay of this router; the current one sends the same content.
                     return;
                 }
-                if (digest.hasStore()) {
+                // Only the first datagram of a digest has this field.
+                if (digest.getAnsweredSequence() > 0) {
+                    sentDigests.recordAnswered(digest.getAnsweredSequence());
                     alignWithRelay(nowMillis);
                 }
                 update(
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -72,7 +72,7 @@
     private final UnreadWatch unreadWatch;
     private final UpstreamSelection selection;
     private final CrashGuard crashGuard;
-
+    private final AccountAdmission admission;
     private final RequestCost cost;
 
     private Optional<PrefixLocator> prefixLocator = Optional.empty();
@@ -131,6 +131,7 @@
         this.crashGuard = new CrashGuard(context, request, caller, account, body);
         this.cost = new RequestCost(context, caller, route, account, service);
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
+        this.admission = new AccountAdmission(context, caller, account, arrivedMillis);
     }
 
     /** Starts the deadline and makes the first attempt. */
@@ -156,6 +157,7 @@
             FleetSnapshot snapshot = context.state().snapshot();
             checkConfigAge(snapshot);
             crashGuard.check(now);
+            admission.check(now);
             Set<String> excluded = UpstreamRoom.excluded(context, snapshot, service, caller.id(), tried, body.length);
             Optional<UpstreamSelection.Selected> selected =
                     selection.select(snapshot, excluded, attempts == 0, isWaiting, now, leftMillis);
@@ -258,6 +260,7 @@
                 .ifPresent(context.state().placements()::recordLocal);
         UpstreamAttempt attempt = new UpstreamAttempt(context, choice, work, attempts + 1, this);
         current = attempt;
+        admission.recordSent(context.timers().monotonicMillis());
         ForwardLog.sent(context, caller.id(), attempt.number(), choice, snapshot);
         attempt.start(request.getMethod(), request.getHttpURI().getPathQuery(), headers, body, hasBody);
     }
@@ -296,6 +299,7 @@
         // A refusal of another request says nothing about this one, which the upstream may be running.
         if (upstreamResponse.notExecuted() && !check.isOfOtherRequest()) {
             recordRefusal(attempt, upstreamResponse);
+            admission.recordNotRun(now);
             attempts++;
             retryOrFail(attempt, "not_run", "status " + newStatus);
             return false;
@@ -432,6 +436,7 @@
         context.state().load(attempt.upstream()).recordFailure(context.timers().monotonicMillis());
         if (!attempt.mayHaveBeenSent()) {
             failedConnects++;
+            admission.recordNotRun(context.timers().monotonicMillis());
             ForwardLog.attemptEnded(
                     caller.id(), attempt.number(), attempt.upstream().key(), "not_sent", failure.toString());
             if (failedConnects <= MAX_FAILED_CONNECTS) {
