Divide the slots of plain services between the routers

Cause: each router sent calls without a prompt to the upstream with the shortest expected time, whatever their number. Loads of other routers are 0.2 to 1 s old, so routers chose the same upstream, and upstreams refused what did not fit.

Change: while all upstreams of a service are full, each router uses a part of their slots in proportion to its demand, which it reports in digests (CallShares, CallConcurrency). Calls beyond the part wait, the most urgent first, or are refused at once. While only some upstreams are full, calls take turns between them. With free slots the chooser decides as before.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/ServiceDemand.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/ServiceDemand.java
@@ -17,7 +17,18 @@
      * @param account hash of the account's name; 0 for requests without an account
      * @param priority 0 is the most urgent
      */
-    public record Key(long service, long account, int priority) {}
+    public record Key(long service, long account, int priority) {
+        /**
+         * Entry that each router reports with one request in flight, so that the sum over the routers is their number:
+         * a relay's digest does not say how many routers it represents.
+         */
+        public static final Key ROUTERS = new Key(0, 0, 0);
+    }
+
+    /** The entry that counts the router which reports it. */
+    public static ServiceDemand oneRouter() {
+        return new ServiceDemand(Key.ROUTERS, 0, 0, 0, 1);
+    }
 
     /** Returns the sum of two demands of the same key. */
     public ServiceDemand plus(ServiceDemand other) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.fleet;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.query.ChoiceSettings;
 import io.agatelane.core.fleet.query.UpstreamChooser;
 import io.agatelane.node.api.FleetPorts;
@@ -104,6 +105,12 @@
                 control.epochMillis(),
                 (target, packet) -> gossipSocket.send(target, packet),
                 metrics);
+        gossip.setDemands(new LoadGossip.OwnDemands() {
+            @Override
+            public List<ServiceDemand> services(long nowMillis) {
+                return context.serviceDemands(nowMillis);
+            }
+        });
         cacheStoreProbe = new CacheStoreProbe(state, registry, ports.engineControl(), control, control);
         RolloutLeadership leadership = new RolloutLeadership(
                 ports.store(),
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -9,6 +9,7 @@
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.command.CallConcurrency.Decision;
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.UpstreamLoad;
@@ -48,7 +49,7 @@
  * <p>All state is guarded by the call's monitor. A request that was sent is never refused as "not run" unless each
  * upstream has stated so.
  */
-final class ForwardCall implements UpstreamAttempt.Listener {
+final class ForwardCall implements UpstreamAttempt.Listener, ServiceAdmission.Waiter {
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
     // Failed connects do not count as attempts, but a request must not try every upstream of a fleet that is down.
     private static final int MAX_FAILED_CONNECTS = 3;
@@ -128,7 +129,7 @@
         this.sharedParts = caller.prompt().map(Prompt::sharedParts).orElse(List.of()).stream()
                 .map(PartSuspects::fingerprint)
                 .toList();
-        this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
+        this.selection = new UpstreamSelection(context, caller, route, account, service, priority, this);
     }
 
     /** Starts the deadline and makes the first attempt. */
@@ -179,6 +180,12 @@
         if (isWaiting) {
             return;
         }
+        Optional<ServiceAdmission> admission = context.admissionOfCalls(service);
+        if (admission.isPresent()) {
+            isWaiting = true;
+            waitTimer = () -> admission.get().remove(this);
+            return;
+        }
         long expectedMillis = context.waiting(service).expectedWaitMillis(priority);
         long maxMillis = Math.round(route.latencyObjectiveMillis() * MAX_WAIT_SHARE) - (now - arrivedMillis);
         if (expectedMillis > maxMillis || maxMillis <= 0) {
@@ -210,6 +217,14 @@
         return !isWaiting || done;
     }
 
+    @Override
+    public synchronized void release(Decision decision) {
+        if (isWaiting && !done) {
+            selection.release(decision);
+            dispatch();
+        }
+    }
+
     private void leaveQueue() {
         isWaiting = false;
         waitTimer.cancel();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.command.PrefillSpeed;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
 import io.agatelane.core.fleet.query.UpstreamChooser;
@@ -8,8 +9,12 @@
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.cfg.FleetSettings;
 import io.agatelane.node.fleet.FleetState;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
 
 /** State that all requests of a router share. */
@@ -26,6 +31,8 @@
     private final Map<String, WindowedRetryBudget> budgets = new ConcurrentHashMap<>();
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
+    private final Map<String, ServiceAdmission> admissions = new ConcurrentHashMap<>();
+    private final PeerDemands peerDemands;
     private volatile boolean draining;
     private volatile boolean refusing;
 
@@ -45,6 +52,7 @@
         this.client = client;
         this.timers = timers;
         this.metrics = metrics;
+        this.peerDemands = new PeerDemands(state);
     }
 
     /** Applies changed settings to requests that come from now on. */
@@ -91,6 +99,29 @@
         return waiting.computeIfAbsent(service, name -> new WaitingCalls(timers, client.getExecutor()));
     }
 
+    /** This router's part of the slots of a service without engines. */
+    ServiceAdmission admission(String service) {
+        return admissions.computeIfAbsent(
+                service, name -> new ServiceAdmission(name, this, RandomGenerator.getDefault()));
+    }
+
+    /** The part of a service without engines that has had calls; empty for other services. */
+    Optional<ServiceAdmission> admissionOfCalls(String service) {
+        return Optional.ofNullable(admissions.get(service));
+    }
+
+    PeerDemands peerDemands() {
+        return peerDemands;
+    }
+
+    /** Demand for services that this router reports to the others. */
+    public List<ServiceDemand> serviceDemands(long nowMillis) {
+        List<ServiceDemand> demands = new ArrayList<>();
+        demands.add(ServiceDemand.oneRouter());
+        admissions.values().forEach(admission -> demands.add(admission.demand(nowMillis)));
+        return demands;
+    }
+
     /** Speed at which the engines of a service prefill prompts. */
     PrefillSpeed prefillSpeed(String service) {
         return prefillSpeeds.computeIfAbsent(service, name -> new PrefillSpeed(settings.prefillTokensPerMilli()));
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ServiceAdmission.java
@@ -0,0 +1,150 @@
+package io.agatelane.node.forward;
+
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.FleetUpstream;
+import io.agatelane.core.fleet.ServiceDemand;
+import io.agatelane.core.fleet.command.CallConcurrency;
+import io.agatelane.core.fleet.command.CallConcurrency.Action;
+import io.agatelane.core.fleet.command.CallConcurrency.Call;
+import io.agatelane.core.fleet.command.CallConcurrency.Decision;
+import io.agatelane.core.fleet.command.CallConcurrency.Released;
+import io.agatelane.core.fleet.command.CallConcurrency.View;
+import io.agatelane.core.fleet.command.DecayedCallDurations;
+import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.hash.Rendezvous;
+import io.agatelane.node.api.ReportedLoad;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.random.RandomGenerator;
+
+/** This router's part of the slots of one service without engines, and the calls that wait for it. */
+final class ServiceAdmission {
+    /** Assumed run time of a call without a prompt before any was observed. */
+    static final double DEFAULT_CALL_MILLIS = 40;
+
+    // The part changes with each digest, so a wait is never timed further ahead.
+    private static final long MAX_CHECK_MILLIS = 25;
+    private static final double MILLIS_PER_SECOND = 1_000;
+
+    private final String service;
+    private final ForwardContext context;
+    private final CallConcurrency<Waiter> calls;
+    private final AtomicBoolean scheduled = new AtomicBoolean();
+
+    /** A call that may have to wait. */
+    interface Waiter {
+        /** Called once for a call that waits, with the decision to send or to refuse it. */
+        void release(Decision decision);
+    }
+
+    ServiceAdmission(String service, ForwardContext context, RandomGenerator random) {
+        this.service = service;
+        this.context = context;
+        this.calls = new CallConcurrency<>(new DecayedCallDurations(DEFAULT_CALL_MILLIS), random);
+    }
+
+    /** Decides about a new call. A call that has to wait is given to its {@link Waiter#release} later. */
+    Decision offer(Call<Waiter> call, String id, List<Candidate> candidates, long nowMillis) {
+        Decision decision = calls.offer(call, view(candidates, nowMillis), nowMillis);
+        if (decision.action() == Action.WAIT) {
+            ShareLog.callWaits(context, service, id, decision);
+            scheduleCheck(nowMillis);
+        }
+        return decision;
+    }
+
+    /** Returns the refusal of a call by this router's part of the slots. */
+    AgatelaneException refusal(String id, Decision decision, long nowMillis) {
+        long others = context.peerDemands().demandMillisPerSecond(Rendezvous.hash(service), nowMillis);
+        ShareLog.callRefused(context, service, id, decision, others / MILLIS_PER_SECOND);
+        return new AgatelaneException(
+                        FailureType.OVERLOADED,
+                        "the slots of " + service + " are in use; the call would wait "
+                                + Math.round(decision.waitMillis()) + " ms or more")
+                .withRetryAfterMillis(Math.max(UpstreamSelection.BUSY_RETRY_MILLIS, decision.retryAfterMillis()));
+    }
+
+    void remove(Waiter waiter) {
+        calls.remove(waiter);
+    }
+
+    void recordSent() {
+        calls.recordSent();
+    }
+
+    void recordEnded() {
+        calls.recordEnded();
+        if (calls.waiting() > 0) {
+            context.client().getExecutor().execute(this::releaseCalls);
+        }
+    }
+
+    void recordAnswered(FleetUpstream upstream, long millis) {
+        calls.recordAnswered(upstream, millis);
+    }
+
+    void recordFailure(FleetUpstream upstream, long nowMillis) {
+        calls.recordFailure(upstream, nowMillis);
+    }
+
+    void recordReport(FleetUpstream upstream, ReportedLoad load, long nowMillis) {
+        calls.recordReport(upstream, load.running(), load.waiting(), nowMillis);
+    }
+
+    void recordRefusal(FleetUpstream upstream, long nowMillis) {
+        calls.recordRefusal(upstream, nowMillis);
+        context.metrics().counter("calls_refused_by_upstream_total").inc();
+    }
+
+    /** The demand that this router reports to the others. */
+    ServiceDemand demand(long nowMillis) {
+        calls.retain(context.state().snapshot().usable(service));
+        int demandMillis = (int) Math.round(calls.demand(nowMillis) * MILLIS_PER_SECOND);
+        ServiceDemand.Key key = new ServiceDemand.Key(Rendezvous.hash(service), 0, 0);
+        return new ServiceDemand(key, demandMillis, 0, calls.waiting(), calls.inFlight());
+    }
+
+    private View view(List<Candidate> candidates, long nowMillis) {
+        PeerDemands peers = context.peerDemands();
+        return new View(
+                candidates,
+                peers.demandMillisPerSecond(Rendezvous.hash(service), nowMillis) / MILLIS_PER_SECOND,
+                peers.reportingRouters(nowMillis),
+                context.state().routerCount());
+    }
+
+    private View view(long nowMillis) {
+        return view(
+                context.state().candidates(context.state().snapshot(), service, Optional.empty(), Set.of(), nowMillis),
+                nowMillis);
+    }
+
+    private void scheduleCheck(long nowMillis) {
+        if (scheduled.compareAndSet(false, true)) {
+            long pause = calls.pauseMillis(view(nowMillis), nowMillis);
+            // Without a pause all calls of the part are in flight; the end of one of them releases the next.
+            long delay = pause == 0 ? MAX_CHECK_MILLIS : Math.min(pause, MAX_CHECK_MILLIS);
+            context.timers().after(delay, () -> context.client().getExecutor().execute(this::check));
+        }
+    }
+
+    private void check() {
+        scheduled.set(false);
+        releaseCalls();
+        if (calls.waiting() > 0) {
+            scheduleCheck(context.timers().monotonicMillis());
+        }
+    }
+
+    private void releaseCalls() {
+        long now = context.timers().monotonicMillis();
+        Optional<Released<Waiter>> next = calls.next(view(now), now);
+        while (next.isPresent()) {
+            next.get().request().release(next.get().decision());
+            next = calls.next(view(now), now);
+        }
+    }
+}
--- /dev/null
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ShareLog.java
@@ -0,0 +1,39 @@
+package io.agatelane.node.forward;
+
+import io.agatelane.core.fleet.command.CallConcurrency.Decision;
+import io.agatelane.node.util.EventLog;
+
+/** Log lines and metrics of requests that wait or are refused because of this router's share of a service. */
+final class ShareLog {
+    private static final EventLog LOG = EventLog.of(ShareLog.class);
+
+    private ShareLog() {}
+
+    /** Logs that a call waits for a slot of this router's part. */
+    static void callWaits(ForwardContext context, String service, String id, Decision decision) {
+        LOG.event("call_waiting")
+                .with("id", id)
+                .with("service", service)
+                .with("reason", "slots")
+                .with("part_slots", decision.part())
+                .with("demand_slots", decision.demand())
+                .with("expected_ms", decision.waitMillis())
+                .info();
+        context.metrics().counter("calls_waiting_total").inc();
+    }
+
+    /** Logs that a call is refused because no slot of this router's part becomes free in time. */
+    static void callRefused(ForwardContext context, String service, String id, Decision decision, double othersDemand) {
+        LOG.event("call_refused")
+                .with("id", id)
+                .with("service", service)
+                .with("reason", "slots")
+                .with("part_slots", decision.part())
+                .with("demand_slots", decision.demand())
+                .with("others_demand_slots", othersDemand)
+                .with("expected_ms", decision.waitMillis())
+                .with("retry_after_ms", decision.retryAfterMillis())
+                .info();
+        context.metrics().counter("calls_refused_by_share_total").inc();
+    }
+}
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -11,6 +11,7 @@
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.nio.ByteBuffer;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
@@ -50,11 +51,13 @@
     private final int number;
     private final Listener listener;
     private final UpstreamLoad load;
+    private final Optional<ServiceAdmission> admission;
     private final AtomicBoolean requestBegun = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
     private Request request;
     private long startedMillis;
     private volatile boolean responseStarted;
+    private volatile boolean wasRefused;
 
     UpstreamAttempt(ForwardContext context, UpstreamChoice choice, RequestWork work, int number, Listener listener) {
         this.work = work;
@@ -63,6 +66,7 @@
         this.number = number;
         this.listener = listener;
         this.load = context.state().load(choice.candidate().upstream());
+        this.admission = context.admissionOfCalls(choice.candidate().upstream().service());
     }
 
     /** Sends the request. */
@@ -70,6 +74,7 @@
         FleetUpstream upstream = choice.candidate().upstream();
         startedMillis = context.timers().monotonicMillis();
         load.recordSent(this, work, startedMillis);
+        admission.ifPresent(ServiceAdmission::recordSent);
         try {
             send(upstream.address(), method, pathQuery, headers, body, hasBody);
         } catch (RuntimeException e) {
@@ -162,14 +167,33 @@
                 .ifPresent(report ->
                         load.recordReport(report.running(), report.waiting(), report.durationPercent(), nowMillis));
         recordNotices(response.getStatus(), upstreamResponse, nowMillis);
+        admission.ifPresent(calls -> recordAdmission(calls, upstreamResponse, nowMillis));
         if (!listener.onHead(this, response.getStatus(), response.getHeaders(), upstreamResponse)) {
             response.abort(new ConnectException("the response is not used"));
         }
     }
 
+    private void recordAdmission(ServiceAdmission calls, UpstreamResponse response, long nowMillis) {
+        if (isOfOtherUpstream(response)) {
+            return;
+        }
+        response.load().ifPresent(report -> calls.recordReport(upstream(), report, nowMillis));
+        boolean hasOtherReason = response.refusedExpectation()
+                || response.leaving()
+                || response.pauseMillis().isPresent();
+        if (response.notExecuted() && !hasOtherReason) {
+            calls.recordRefusal(upstream(), nowMillis);
+        }
+        wasRefused = response.notExecuted();
+    }
+
+    private boolean isOfOtherUpstream(UpstreamResponse response) {
+        return response.upstreamId().filter(id -> !id.equals(upstream().id())).isPresent();
+    }
+
     // Another upstream at the same address speaks for itself only.
     private void recordNotices(int status, UpstreamResponse response, long nowMillis) {
-        if (response.upstreamId().filter(id -> !id.equals(upstream().id())).isPresent()) {
+        if (isOfOtherUpstream(response)) {
             return;
         }
         UpstreamNotices notices = context.state().notices();
@@ -197,12 +221,21 @@
         if (result.isFailed()) {
             end(result.getFailure());
         } else if (recordEnd()) {
+            if (!wasRefused) {
+                long millis = context.timers().monotonicMillis() - startedMillis;
+                admission.ifPresent(calls -> calls.recordAnswered(upstream(), millis));
+            }
             listener.onComplete(this);
         }
     }
 
     private void end(Throwable failure) {
         if (recordEnd()) {
+            // An attempt whose response has begun is also ended by its caller or by the router itself.
+            if (!responseStarted) {
+                long nowMillis = context.timers().monotonicMillis();
+                admission.ifPresent(calls -> calls.recordFailure(upstream(), nowMillis));
+            }
             listener.onFailure(this, failure);
         }
     }
@@ -211,6 +244,7 @@
         boolean isFirst = ended.compareAndSet(false, true);
         if (isFirst) {
             load.recordEnded(this, work);
+            admission.ifPresent(ServiceAdmission::recordEnded);
         }
         return isFirst;
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -8,6 +8,9 @@
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.command.CallConcurrency.Action;
+import io.agatelane.core.fleet.command.CallConcurrency.Call;
+import io.agatelane.core.fleet.command.CallConcurrency.Decision;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.CandidateSampler;
 import io.agatelane.core.fleet.query.EngineCandidates;
@@ -20,6 +23,7 @@
 import io.agatelane.node.fleet.FleetSnapshot;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -28,29 +32,36 @@
     /** Shortest retry delay for callers of a busy service; a queue advances by some requests in this time. */
     static final long BUSY_RETRY_MILLIS = 150;
 
-    // Assumed run time of a call without a prompt before any was observed.
-    private static final double DEFAULT_CALL_MILLIS = 40;
-
     private final ForwardContext context;
     private final CallerRequest caller;
     private final Route route;
     private final Optional<FleetAccount> account;
     private final String service;
     private final int priority;
+    private final ServiceAdmission.Waiter waiter;
+    private Optional<Decision> released = Optional.empty();
 
+    /**
+     * Creates the selection for one request.
+     *
+     * @param priority priority with which engines admit the request
+     * @param waiter the request itself, which is released when it has waited for a slot
+     */
     UpstreamSelection(
             ForwardContext context,
             CallerRequest caller,
             Route route,
             Optional<FleetAccount> account,
             String service,
-            int priority) {
+            int priority,
+            ServiceAdmission.Waiter waiter) {
         this.context = context;
         this.caller = caller;
         this.route = route;
         this.account = account;
         this.service = service;
         this.priority = priority;
+        this.waiter = waiter;
     }
 
     /**
@@ -67,7 +78,7 @@
      * @param isFirst whether no attempt was made yet; only then may a queue be a reason to refuse the request, and a
      *     full memory a reason to let it wait
      * @param isNext whether the request is the first one that waits for room at an engine
-     * @return empty when the request should wait because no engine has room for it
+     * @return empty when the request should wait because no engine has room for it, or no slot is free for a call
      * @throws AgatelaneException with {@code NO_UPSTREAM} or {@code OVERLOADED} and the time after which to retry
      */
     Optional<Selected> select(
@@ -92,8 +103,16 @@
             selected =
                     selectEngine(snapshot, isFirst ? engines : engines.withoutRoomLimit(), prompt.get(), engine.get());
         } else {
+            List<Candidate> admitted = candidates;
+            if (engine.isEmpty() && tried.isEmpty() && !candidates.isEmpty()) {
+                Decision decision = decide(candidates, nowMillis, leftMillis);
+                if (decision.action() == Action.WAIT) {
+                    return Optional.empty();
+                }
+                admitted = decision.upstream().map(List::of).orElse(candidates);
+            }
             selected = context.chooser()
-                    .chooseForCall(candidates, DEFAULT_CALL_MILLIS)
+                    .chooseForCall(admitted, ServiceAdmission.DEFAULT_CALL_MILLIS)
                     .map(choice -> new Selected(choice, Optional.empty()));
         }
         if (selected.isEmpty()) {
@@ -116,6 +135,28 @@
         return Math.max(BUSY_RETRY_MILLIS, context.state().pauseMillis(snapshot, service, nowMillis));
     }
 
+    /** Sets the decision about a call that has waited for a slot. */
+    void release(Decision decision) {
+        released = Optional.of(decision);
+    }
+
+    private Decision decide(List<Candidate> candidates, long nowMillis, long leftMillis) {
+        ServiceAdmission admission = context.admission(service);
+        Decision decision = released.orElseGet(
+                () -> admission.offer(call(nowMillis, leftMillis), caller.id(), candidates, nowMillis));
+        if (decision.action() == Action.REFUSE) {
+            throw admission.refusal(caller.id(), decision, nowMillis);
+        }
+        return decision;
+    }
+
+    private Call<ServiceAdmission.Waiter> call(long nowMillis, long leftMillis) {
+        int urgency =
+                account.map(FleetAccount::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+        long objectiveMillis = route.latencyObjectiveMillis() > 0 ? route.latencyObjectiveMillis() : leftMillis;
+        return new Call<>(waiter, urgency, nowMillis + objectiveMillis, nowMillis + leftMillis);
+    }
+
     private EngineCandidates engines(
             FleetSnapshot snapshot, List<Candidate> candidates, Prompt prompt, EngineProfile engine) {
         return EngineCandidates.of(
