Refuse prompts beyond the fair share of a saturated service

Cause: the shares were computed but not applied.

With one account and one priority nothing is divided.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CapacityEstimate.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CapacityEstimate.java
@@ -6,9 +6,9 @@
  * Capacity of a service of engines, learned from the work that is admitted while the engines are saturated. Thread-safe.
  */
 public final class CapacityEstimate {
-    // Waiting and refused requests, as a share of those in flight, from which engines count as saturated: single ones
-    // wait for memory or arrive in the same moment on any day.
-    private static final double SATURATED_SHARE = 0.03;
+    // Waiting and refused requests, as a share of those in flight, from which engines count as saturated: some requests
+    // wait for memory also when the engines have time for all of them.
+    private static final double SATURATED_SHARE = 0.1;
     // Time for which a service counts as saturated after the last report that says so. Reports are up to 1 s old, and
     // the
     // shares themselves end the saturation: with less time the service would change between both states.
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/ServiceShares.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/ServiceShares.java
@@ -162,7 +162,8 @@
                 demand.merge(key, (double) other.demandMillisPerSecond(), Double::sum);
             }
         });
-        fractions = FairShares.fractions(capacity.getAsDouble(), demand);
+        // With one account and one priority there is nothing to divide; the room at the upstreams decides.
+        fractions = demand.size() < 2 ? Map.of() : FairShares.fractions(capacity.getAsDouble(), demand);
         refreshedMillis = nowMillis;
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -197,7 +197,8 @@
         context.waiting(service).add(this, priority);
     }
 
-    private static AgatelaneException noRoom(long retryAfterMillis) {
+    private AgatelaneException noRoom(long retryAfterMillis) {
+        context.engineAdmission(service).recordNoRoom(context.timers().monotonicMillis());
         return new AgatelaneException(FailureType.OVERLOADED, "no engine has memory for the prompt in time")
                 .withRetryAfterMillis(retryAfterMillis);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -32,6 +32,7 @@
     private final Map<String, PrefillSpeed> prefillSpeeds = new ConcurrentHashMap<>();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
     private final Map<String, ServiceAdmission> admissions = new ConcurrentHashMap<>();
+    private final Map<String, EngineAdmission> engineAdmissions = new ConcurrentHashMap<>();
     private final PeerDemands peerDemands;
     private volatile boolean draining;
     private volatile boolean refusing;
@@ -110,6 +111,12 @@
         return Optional.ofNullable(admissions.get(service));
     }
 
+    /** Fair shares of a service of engines. */
+    EngineAdmission engineAdmission(String service) {
+        return engineAdmissions.computeIfAbsent(
+                service, name -> new EngineAdmission(name, this, RandomGenerator.getDefault()));
+    }
+
     PeerDemands peerDemands() {
         return peerDemands;
     }
@@ -119,6 +126,7 @@
         List<ServiceDemand> demands = new ArrayList<>();
         demands.add(ServiceDemand.oneRouter());
         admissions.values().forEach(admission -> demands.add(admission.demand(nowMillis)));
+        engineAdmissions.values().forEach(admission -> demands.addAll(admission.demands(nowMillis)));
         return demands;
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ShareLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ShareLog.java
@@ -1,7 +1,10 @@
 package io.agatelane.node.forward;
 
+import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.command.CallConcurrency.Decision;
+import io.agatelane.core.fleet.command.ServiceShares;
 import io.agatelane.node.util.EventLog;
+import java.util.OptionalDouble;
 
 /** Log lines and metrics of requests that wait or are refused because of this router's share of a service. */
 final class ShareLog {
@@ -22,6 +25,27 @@
         context.metrics().counter("calls_waiting_total").inc();
     }
 
+    /** Logs that a request is refused because its account and priority exceed their share of a saturated service. */
+    static void shareExceeded(
+            ForwardContext context,
+            String service,
+            String id,
+            ServiceDemand.Key key,
+            ServiceShares.Refusal refusal,
+            OptionalDouble capacity,
+            long retryAfterMillis) {
+        LOG.event("share_exceeded")
+                .with("id", id)
+                .with("service", service)
+                .with("account", Long.toHexString(key.account()))
+                .with("priority", key.priority())
+                .with("admitted_fraction", refusal.fraction())
+                .with("capacity_ms_per_s", capacity.orElse(0))
+                .with("retry_after_ms", retryAfterMillis)
+                .info();
+        context.metrics().counter("requests_refused_by_share_total").inc();
+    }
+
     /** Logs that a call is refused because no slot of this router's part becomes free in time. */
     static void callRefused(ForwardContext context, String service, String id, Decision decision, double othersDemand) {
         LOG.event("call_refused")
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -8,6 +8,7 @@
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.command.CallConcurrency.Action;
 import io.agatelane.core.fleet.command.CallConcurrency.Call;
 import io.agatelane.core.fleet.command.CallConcurrency.Decision;
@@ -95,7 +96,12 @@
         List<Candidate> candidates =
                 context.state().candidates(snapshot, service, prompt.map(Prompt::model), tried, nowMillis);
         Optional<Selected> selected;
+        boolean isNew = isFirst && !isNext && tried.isEmpty();
         if (prompt.isPresent()) {
+            if (isNew) {
+                EngineAdmission shares = context.engineAdmission(service);
+                shares.offer(demandKey(), shares.workMillis(prompt.get(), engine.get()), caller.id(), nowMillis);
+            }
             EngineCandidates engines = engines(snapshot, candidates, prompt.get(), engine.get());
             if (isFirst && (engines.isFull() || (!isNext && mustQueue(prompt.get(), engine.get())))) {
                 return Optional.empty();
@@ -121,9 +127,13 @@
         }
         UpstreamChoice choice = selected.get().choice();
         if (isFirst && prompt.isPresent()) {
-            checkQueue(choice);
+            checkQueue(choice, nowMillis);
         }
         checkTime(choice, leftMillis);
+        if (prompt.isPresent() && tried.isEmpty()) {
+            EngineAdmission shares = context.engineAdmission(service);
+            shares.recordAdmitted(demandKey(), shares.workMillis(prompt.get(), engine.get()), nowMillis);
+        }
         return selected;
     }
 
@@ -150,11 +160,17 @@
         return decision;
     }
 
+    private int urgency() {
+        return account.map(FleetAccount::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+    }
+
+    private ServiceDemand.Key demandKey() {
+        return context.engineAdmission(service).key(account, urgency());
+    }
+
     private Call<ServiceAdmission.Waiter> call(long nowMillis, long leftMillis) {
-        int urgency =
-                account.map(FleetAccount::priority).orElse(OptionalInt.empty()).orElse(route.priority());
         long objectiveMillis = route.latencyObjectiveMillis() > 0 ? route.latencyObjectiveMillis() : leftMillis;
-        return new Call<>(waiter, urgency, nowMillis + objectiveMillis, nowMillis + leftMillis);
+        return new Call<>(waiter, urgency(), nowMillis + objectiveMillis, nowMillis + leftMillis);
     }
 
     private EngineCandidates engines(
@@ -173,9 +189,10 @@
         return !EngineRoom.isShort(prompt, engine) && context.waiting(service).hasAhead(priority);
     }
 
-    private void checkQueue(UpstreamChoice choice) {
+    private void checkQueue(UpstreamChoice choice, long nowMillis) {
         OptionalLong busyMillis = QueueLimit.retryAfterMillis(choice, route.latencyObjectiveMillis());
         if (busyMillis.isPresent()) {
+            context.engineAdmission(service).recordNoRoom(nowMillis);
             throw new AgatelaneException(
                             FailureType.OVERLOADED,
                             "every engine has a queue of " + Math.round(choice.queueMillis()) + " ms or more")
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/WaitingCalls.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/WaitingCalls.java
@@ -40,6 +40,11 @@
         return queue.countAhead(priority) > 0;
     }
 
+    /** Number of calls that wait. */
+    int size() {
+        return queue.countAhead(Integer.MAX_VALUE);
+    }
+
     long expectedWaitMillis(int priority) {
         return queue.expectedWaitMillis(priority);
     }
