--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
+import io.agatelane.core.fleet.command.CallConcurrency.Decision;
 import io.agatelane.core.fleet.command.UpstreamLoad;
 import io.agatelane.core.fleet.query.EnginePriority;
 import io.agatelane.core.fleet.query.EngineRoom;
@@ -44,7 +45,7 @@
  * <p>All state is guarded by the call's monitor. A request that was sent is never refused as "not run" unless each
  * upstream has stated so.
  */
-final class ForwardCall implements UpstreamAttempt.Listener {
+final class ForwardCall implements UpstreamAttempt.Listener, ServiceAdmission.Waiter {
     private static final EventLog LOG = EventLog.of(ForwardCall.class);
     // Failed connects do not count as attempts, but a request must not try every upstream of a fleet that is down.
     private static final int MAX_FAILED_CONNECTS = 3;
@@ -130,7 +131,7 @@
         this.unreadWatch = new UnreadWatch(context, request, response, this::onCallerNotReading);
         this.crashGuard = new CrashGuard(context, request, caller, account, body);
         this.cost = new RequestCost(context, caller, route, account, service);
-        this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
+        this.selection = new UpstreamSelection(context, caller, route, account, service, priority, this);
         this.admission = new AccountAdmission(context, caller, account, arrivedMillis);
     }
 
@@ -184,6 +185,12 @@
         if (isWaiting) {
             return;
         }
+        Optional<ServiceAdmission> admission = context.admissionOfCalls(service);
+        if (admission.isPresent()) {
+            isWaiting = true;
+            waitTimer = () -> admission.get().remove(this);
+            return;
+        }
         long expectedMillis = context.waiting(service).expectedWaitMillis(priority);
         long maxMillis = Math.round(route.latencyObjectiveMillis() * MAX_WAIT_SHARE) - (now - arrivedMillis);
         if (expectedMillis > maxMillis || maxMillis <= 0) {
@@ -195,7 +202,8 @@
         context.waiting(service).add(this, priority);
     }
 
-    private static AgatelaneException noRoom(long retryAfterMillis) {
+    private AgatelaneException noRoom(long retryAfterMillis) {
+        context.engineAdmission(service).recordNoRoom(context.timers().monotonicMillis());
         return new AgatelaneException(FailureType.OVERLOADED, "no engine has memory for the prompt in time")
                 .withRetryAfterMillis(retryAfterMillis);
     }
@@ -215,6 +223,14 @@
         return !isWaiting || done;
     }
 
+    @Override
+    public synchronized void release(Decision decision) {
+        if (isWaiting && !done) {
+            selection.release(decision);
+            dispatch();
+        }
+    }
+
     private void leaveQueue() {
         isWaiting = false;
         waitTimer.cancel();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.command.NormalDuration;
 import io.agatelane.core.fleet.command.OutputTokens;
 import io.agatelane.core.fleet.command.PeerLoads;
@@ -19,8 +20,11 @@
 import io.agatelane.node.cfg.FleetSettings;
 import io.agatelane.node.cfg.HeldBytes;
 import io.agatelane.node.fleet.FleetState;
+import java.util.ArrayList;
 import java.util.EnumSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
@@ -51,6 +55,9 @@
     private final ByteBudget responseBytes;
     private final KeyedByteBudget upstreamBytes;
     private final AccountRateLimiter accountLimiter;
+    private final Map<String, ServiceAdmission> admissions = new ConcurrentHashMap<>();
+    private final Map<String, EngineAdmission> engineAdmissions = new ConcurrentHashMap<>();
+    private final PeerDemands peerDemands;
     private volatile boolean draining;
     private volatile boolean refusing;
 
@@ -75,6 +82,7 @@
         upstreamBytes = new KeyedByteBudget(heldBytes.upstreamBytes());
         metrics.gauge("response_bytes_held", () -> responseBytes::heldBytes);
         metrics.gauge("upstream_body_bytes_largest", () -> upstreamBytes::largestHeldBytes);
+        this.peerDemands = new PeerDemands(state);
         this.accountLimiter =
                 new AccountRateLimiter(new KnownFleet(), RandomGenerator.getDefault(), timers.monotonicMillis());
     }
@@ -156,6 +164,36 @@
         return waiting.computeIfAbsent(service, name -> new WaitingCalls(timers, client.getExecutor()));
     }
 
+    /** This router's part of the slots of a service without engines. */
+    ServiceAdmission admission(String service) {
+        return admissions.computeIfAbsent(
+                service, name -> new ServiceAdmission(name, this, RandomGenerator.getDefault()));
+    }
+
+    /** The part of a service without engines that has had calls; empty for other services. */
+    Optional<ServiceAdmission> admissionOfCalls(String service) {
+        return Optional.ofNullable(admissions.get(service));
+    }
+
+    /** Fair shares of a service of engines. */
+    EngineAdmission engineAdmission(String service) {
+        return engineAdmissions.computeIfAbsent(
+                service, name -> new EngineAdmission(name, this, RandomGenerator.getDefault()));
+    }
+
+    PeerDemands peerDemands() {
+        return peerDemands;
+    }
+
+    /** Demand for services that this router reports to the others. */
+    public List<ServiceDemand> serviceDemands(long nowMillis) {
+        List<ServiceDemand> demands = new ArrayList<>();
+        demands.add(ServiceDemand.oneRouter());
+        admissions.values().forEach(admission -> demands.add(admission.demand(nowMillis)));
+        engineAdmissions.values().forEach(admission -> demands.addAll(admission.demands(nowMillis)));
+        return demands;
+    }
+
     /** Speed at which the engines of a service prefill prompts. */
     PrefillSpeed prefillSpeed(String service) {
         return prefillSpeeds.computeIfAbsent(service, name -> new PrefillSpeed(settings.prefillTokensPerMilli()));
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -13,6 +13,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.client.ByteBufferRequestContent;
 import org.eclipse.jetty.client.Request;
@@ -56,6 +57,7 @@
     private final int number;
     private final Listener listener;
     private final UpstreamLoad load;
+    private final Optional<ServiceAdmission> admission;
     private final AtomicBoolean requestBegun = new AtomicBoolean();
     private final AtomicBoolean requestSent = new AtomicBoolean();
     private final AtomicBoolean ended = new AtomicBoolean();
@@ -63,6 +65,7 @@
     private long startedMillis;
     private int bodyBytes;
     private volatile boolean responseStarted;
+    private volatile boolean wasRefused;
 
     UpstreamAttempt(ForwardContext context, UpstreamChoice choice, RequestWork work, int number, Listener listener) {
         this.work = work;
@@ -71,6 +74,7 @@
         this.number = number;
         this.listener = listener;
         this.load = context.state().load(choice.candidate().upstream());
+        this.admission = context.admissionOfCalls(choice.candidate().upstream().service());
     }
 
     /** Sends the request. Its body must have been counted in the bytes in flight to the upstream. */
@@ -79,6 +83,7 @@
         FleetUpstream upstream = choice.candidate().upstream();
         startedMillis = context.timers().monotonicMillis();
         load.recordSent(this, work, startedMillis);
+        admission.ifPresent(ServiceAdmission::recordSent);
         try {
             send(upstream.address(), method, pathQuery, headers, body, hasBody);
         } catch (RuntimeException e) {
@@ -181,14 +186,33 @@
                 .ifPresent(report ->
                         load.recordReport(report.running(), report.waiting(), report.durationPercent(), nowMillis));
         recordNotices(response.getStatus(), upstreamResponse, nowMillis);
+        admission.ifPresent(calls -> recordAdmission(calls, upstreamResponse, nowMillis));
         if (!listener.onHead(this, response.getStatus(), response.getHeaders(), upstreamResponse)) {
             response.abort(new ConnectException("the response is not used"));
         }
     }
 
+    private void recordAdmission(ServiceAdmission calls, UpstreamResponse response, long nowMillis) {
+        if (isOfOtherUpstream(response)) {
+            return;
+        }
+        response.load().ifPresent(report -> calls.recordReport(upstream(), report, nowMillis));
+        boolean hasOtherReason = response.refusedExpectation()
+                || response.leaving()
+                || response.pauseMillis().isPresent();
+        if (response.notExecuted() && !hasOtherReason) {
+            calls.recordRefusal(upstream(), nowMillis);
+        }
+        wasRefused = response.notExecuted();
+    }
+
+    private boolean isOfOtherUpstream(UpstreamResponse response) {
+        return response.upstreamId().filter(id -> !id.equals(upstream().id())).isPresent();
+    }
+
     // Another upstream at the same address speaks for itself only.
     private void recordNotices(int status, UpstreamResponse response, long nowMillis) {
-        if (response.upstreamId().filter(id -> !id.equals(upstream().id())).isPresent()) {
+        if (isOfOtherUpstream(response)) {
             return;
         }
         UpstreamNotices notices = context.state().notices();
@@ -228,12 +252,21 @@
         if (result.isFailed()) {
             end(result.getFailure());
         } else if (recordEnd()) {
+            if (!wasRefused) {
+                long millis = context.timers().monotonicMillis() - startedMillis;
+                admission.ifPresent(calls -> calls.recordAnswered(upstream(), millis));
+            }
             listener.onComplete(this);
         }
     }
 
     private void end(Throwable failure) {
         if (recordEnd()) {
+            // An attempt whose response has begun is also ended by its caller or by the router itself.
+            if (!responseStarted) {
+                long nowMillis = context.timers().monotonicMillis();
+                admission.ifPresent(calls -> calls.recordFailure(upstream(), nowMillis));
+            }
             listener.onFailure(this, failure);
         }
     }
@@ -243,6 +276,7 @@
         if (isFirst) {
             load.recordEnded(this, work, context.timers().monotonicMillis());
             context.upstreamBytes().release(upstream().key(), bodyBytes);
+            admission.ifPresent(ServiceAdmission::recordEnded);
         }
         return isFirst;
     }
