Keep some engines free of long prompts in large fleets

Cause: a short prompt waits for the prefill of a long one at its engine, whatever its priority.

In deployments with many routers a quarter of each zone's engines, selected by hashing at all routers alike, is sampled first for short prompts and last for long ones. The chooser still compares expected times, so both kinds use the other engines under load. Zones with fewer than four engines are as before.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
@@ -44,6 +44,7 @@
     private final String zone;
     private final long newestVersion;
     private final String router;
+    private final Set<String> shortPromptEngines;
 
     /**
      * Creates a sampler.
@@ -53,21 +54,51 @@
      * @param router name of this router
      */
     public CandidateSampler(String zone, long newestVersion, String router) {
+        this(zone, newestVersion, router, Set.of());
+    }
+
+    /**
+     * Creates a sampler that keeps long prompts away from some engines.
+     *
+     * @param shortPromptEngines ids of the engines that are sampled for short prompts first and for long ones last
+     */
+    public CandidateSampler(String zone, long newestVersion, String router, Set<String> shortPromptEngines) {
         this.zone = zone;
         this.newestVersion = newestVersion;
         this.router = router;
+        this.shortPromptEngines = Set.copyOf(shortPromptEngines);
     }
 
-    /** Returns the candidates of a request without a long prefix; the same id selects the same ones. */
+    /** Returns the candidates of a short prompt or of a call; the same id selects the same ones. */
     public List<Candidate> sampleForRequest(List<Candidate> all, String requestId) {
-        List<Candidate> ofRouter = ranked(all, router);
+        return sample(where(newest(all).toList(), this::isForShortPrompts), all, requestId);
+    }
+
+    /** Returns the candidates of a long prompt without a long prefix; the same id selects the same ones. */
+    public List<Candidate> sampleForLongPrompt(List<Candidate> all, String requestId) {
+        List<Candidate> forLongPrompts = where(all, candidate -> !isForShortPrompts(candidate));
+        return sample(newest(forLongPrompts).toList(), forLongPrompts, requestId);
+    }
+
+    private boolean isForShortPrompts(Candidate candidate) {
+        return shortPromptEngines.contains(candidate.upstream().id());
+    }
+
+    // Without a matching upstream the others are better than none.
+    private static List<Candidate> where(List<Candidate> all, Predicate<Candidate> condition) {
+        List<Candidate> matching = all.stream().filter(condition).toList();
+        return matching.isEmpty() ? all : matching;
+    }
+
+    private List<Candidate> sample(List<Candidate> preferredNewest, List<Candidate> all, String requestId) {
+        List<Candidate> ofRouter = ranked(preferredNewest, router);
         List<Candidate> ranked = ranked(all, requestId);
         Set<Candidate> sampled = new LinkedHashSet<>();
-        newest(ofRouter)
+        ofRouter.stream()
                 .filter(candidate -> candidate.upstream().zone().equals(zone))
                 .limit(SAME_ZONE_CANDIDATES)
                 .forEach(sampled::add);
-        newest(ofRouter).limit(ALL_ZONES_CANDIDATES).forEach(sampled::add);
+        ofRouter.stream().limit(ALL_ZONES_CANDIDATES).forEach(sampled::add);
         newest(ranked).limit(RANDOM_CANDIDATES).forEach(sampled::add);
         older(ranked).limit(OLDER_CANDIDATES).forEach(sampled::add);
         return List.copyOf(sampled);
@@ -82,7 +113,9 @@
         List<Candidate> ranked = ranked(all, prefixId);
         Set<Candidate> sampled = new LinkedHashSet<>();
         ranked.stream().filter(hasPrefix).forEach(sampled::add);
-        newest(ranked).limit(PREFIX_CANDIDATES).forEach(sampled::add);
+        where(newest(ranked).toList(), candidate -> !isForShortPrompts(candidate)).stream()
+                .limit(PREFIX_CANDIDATES)
+                .forEach(sampled::add);
         older(ranked).limit(OLDER_PREFIX_CANDIDATES).forEach(sampled::add);
         return List.copyOf(sampled);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -19,6 +19,7 @@
 import io.agatelane.core.fleet.query.PrefixLocator;
 import io.agatelane.core.fleet.query.PromptRequest;
 import io.agatelane.core.fleet.query.QueueLimit;
+import io.agatelane.core.fleet.query.ShortPromptEngines;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.node.api.CallerRequest;
 import io.agatelane.node.fleet.FleetSnapshot;
@@ -233,7 +234,7 @@
                 route.latencyObjectiveMillis(),
                 context.prefillSpeed(service).tokensPerMilli(),
                 context.interference(service).share());
-        List<Candidate> sampled = sample(withRoom, prompt, prefixLocator, newest);
+        List<Candidate> sampled = sample(snapshot, withRoom, prompt, engine, prefixLocator, newest);
         Optional<UpstreamChoice> choice = context.chooser().chooseForPrompt(sampled, promptRequest, prefixLocator);
         boolean isBusy = choice.isEmpty()
                 || QueueLimit.retryAfterMillis(choice.get(), route.latencyObjectiveMillis())
@@ -244,17 +245,29 @@
                 .map(found -> new Selected(found, Optional.of(prefixLocator)));
     }
 
-    private List<Candidate> sample(List<Candidate> allowed, Prompt prompt, PrefixLocator prefixLocator, long newest) {
+    private List<Candidate> sample(
+            FleetSnapshot snapshot,
+            List<Candidate> allowed,
+            Prompt prompt,
+            EngineProfile engine,
+            PrefixLocator prefixLocator,
+            long newest) {
         if (context.state().routerCount() <= CandidateSampler.MAX_ROUTERS_WITHOUT_SAMPLING) {
             return allowed;
         }
         CandidateSampler sampler = new CandidateSampler(
-                context.settings().zone(), newest, context.settings().vmName());
-        return prefixLocator.hasLongPrefix()
-                ? sampler.sampleForPrefix(
-                        allowed,
-                        prompt.sharedPrefixId(),
-                        candidate -> prefixLocator.holds(candidate) || prefixLocator.isPrefilling(candidate))
-                : sampler.sampleForRequest(allowed, caller.id());
+                context.settings().zone(),
+                newest,
+                context.settings().vmName(),
+                ShortPromptEngines.of(snapshot.usable(service)));
+        if (prefixLocator.hasLongPrefix()) {
+            return sampler.sampleForPrefix(
+                    allowed,
+                    prompt.sharedPrefixId(),
+                    candidate -> prefixLocator.holds(candidate) || prefixLocator.isPrefilling(candidate));
+        }
+        return EngineRoom.isShort(prompt, engine)
+                ? sampler.sampleForRequest(allowed, caller.id())
+                : sampler.sampleForLongPrompt(allowed, caller.id());
     }
 }
