--- a/agatelane-core/src/main/java/io/agatelane/core/limits/command/AccountRate.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/limits/command/AccountRate.java
@@ -59,7 +59,8 @@
     /** Applies the time that has passed and a change of the limit. */
     void advance(LimitShare share, AccountDemand others, long nowMillis) {
         double step = seconds(nowMillis - updatedMillis);
-        updatedMillis = nowMillis;
+        // Threads may come here in another order than they have read the time.
+        updatedMillis = Math.max(updatedMillis, nowMillis);
         double decay = Math.exp(-step / DECAY_SECONDS);
         demand *= decay;
         admitted *= decay;
--- a/agatelane-core/src/test/java/io/agatelane/core/limits/AccountRateLimiterTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/limits/AccountRateLimiterTest.java
@@ -253,6 +253,18 @@
         assertTrue(afterPause.level() <= 0, afterPause.toString());
     }
 
+    // Guards against time that is counted twice when threads take the lock in another order than they read the time.
+    @Test
+    public void timeIsCountedOnce() {
+        AccountRateLimiter limiter = new AccountRateLimiter(new OnlyRouter(), new Random(1), 0);
+        AccountLimit limit = new AccountLimit(REQUESTS, 1, 10, 0);
+        for (int i = 0; i < 20; i++) {
+            limiter.arrive(1, limit, 1, 1_000);
+            limiter.arrive(1, limit, 1, 0);
+        }
+        assertEquals(limiter.decide(limiter.arrive(1, limit, 1, 1_000), 1_000).level(), 1, 0.001);
+    }
+
     // Guards against memory that grows with the accounts that were ever used.
     @Test
     public void idleAccountsAreForgotten() {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
@@ -17,12 +17,12 @@
     private final Optional<LimitedRequest> limited;
     private boolean wasSent;
 
-    AccountAdmission(ForwardContext context, CallerRequest caller, Optional<FleetAccount> account, long arrivedMillis) {
+    AccountAdmission(ForwardContext context, CallerRequest caller, Optional<FleetAccount> account, long nowMillis) {
         this.context = context;
         this.requestId = caller.id();
         this.account = account;
         this.limited = account.flatMap(FleetAccount::limit).map(limit -> context.accountLimiter()
-                .arrive(account.get().nameHash(), limit, limit.units(caller.totalTokens()), arrivedMillis));
+                .arrive(account.get().nameHash(), limit, limit.units(caller.totalTokens()), nowMillis));
     }
 
     /**
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -130,7 +130,8 @@
                 .map(PartSuspects::fingerprint)
                 .toList();
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority);
-        this.admission = new AccountAdmission(context, caller, account, arrivedMillis);
+        this.admission =
+                new AccountAdmission(context, caller, account, context.timers().monotonicMillis());
     }
 
     /** Starts the deadline and makes the first attempt. */
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -81,7 +81,7 @@
         LOG.event("account_limit")
                 .with("id", id)
                 .with("account", account)
-                .with("unit", request.limit().unit().plural())
+                .with("limit_unit", request.limit().unit().plural())
                 .with("units", request.units())
                 .with("rate", request.limit().ratePerSecond())
                 .with("admitted_fraction", decision.fraction())
