Compare responses by route and zone when learning the speed of upstreams

Cause: the mean error of the expectation was kept by service. A round trip of 8 ms to another zone, which the expected time at normal speed does not contain, made upstreams of other zones seem slower than those of the own one for prompts that are expected within some milliseconds, and short and long prompts have different errors. The mean is now kept by route and zone of the upstream.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/NormalDuration.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/NormalDuration.java
@@ -1,10 +1,11 @@
 package io.agatelane.core.fleet.command;
 
 /**
- * Ratio of the observed to the expected time of the responses of a service, over all upstreams. Thread-safe.
+ * Ratio of the observed to the expected time of the responses to one kind of request, over all upstreams of a zone.
+ * Thread-safe.
  *
- * <p>The expectation of a service may be too low or too high as a whole, because it rests on configured values. Only
- * what an upstream takes longer or shorter than the others is its own speed.
+ * <p>The expectation may be too low or too high as a whole, because it rests on configured values and contains no network
+ * between zones. Only what an upstream takes longer or shorter than the others is its own speed.
  */
 public final class NormalDuration {
     // About the last hundred responses count.
@@ -32,7 +33,7 @@
      *
      * @param observedMillis time from sending the request to the response
      * @param expectedMillis expected time on an upstream of normal speed
-     * @return how the response compares with those of all upstreams of the service
+     * @return how the response compares with those of all upstreams
      */
     public synchronized Sample record(double observedMillis, double expectedMillis) {
         double expected = Math.max(0, expectedMillis);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.command.NormalDuration;
 import io.agatelane.core.fleet.command.OutputTokens;
 import io.agatelane.core.fleet.command.PrefillInterference;
@@ -109,9 +110,9 @@
         return prefillSpeeds.computeIfAbsent(service, name -> new PrefillSpeed(settings.prefillTokensPerMilli()));
     }
 
-    /** Observed by expected time to the response, over all upstreams of a service. */
-    NormalDuration normalDuration(String service) {
-        return normalDurations.computeIfAbsent(service, name -> new NormalDuration());
+    /** Observed by expected time to the response, for the requests of a route to the upstreams of a zone. */
+    NormalDuration normalDuration(Route route, String upstreamZone) {
+        return normalDurations.computeIfAbsent(route.name() + '/' + upstreamZone, key -> new NormalDuration());
     }
 
     /** Delay that prompts of a service cause to more urgent ones. */
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RequestCost.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RequestCost.java
@@ -67,7 +67,8 @@
                 observedMillis * PERCENT / choice.candidate().estimate().durationPercent();
         double withoutOthersMillis = choice.normalMillis() - interference.delayMillis();
         context.interference(service).record(interference.workMillis(), normalMillis - withoutOthersMillis);
-        NormalDuration.Sample sample = context.normalDuration(service).record(observedMillis, choice.normalMillis());
+        NormalDuration.Sample sample =
+                context.normalDuration(route, attempt.upstream().zone()).record(observedMillis, choice.normalMillis());
         context.state().load(attempt.upstream()).recordDuration(sample.factor(), sample.weight(), now);
         ForwardLog.firstByte(context, choice, observedMillis);
     }
