Measure heads of requests that have no path

A request such as CONNECT names only a host and may have no path, which the measuring of its head did not allow for. HeadLimitTest covers CONNECT and OPTIONS *, both 404; it passes. Whether they failed without the check was not run.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RequestHeadLimit.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RequestHeadLimit.java
@@ -3,6 +3,7 @@
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.io.http.RequestDiscarder;
 import io.agatelane.node.util.EventLog;
+import java.util.Objects;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -47,9 +48,9 @@
     }
 
     private static int headBytes(Request request) {
-        int lineBytes = request.getMethod().length()
-                + request.getHttpURI().getPathQuery().length()
-                + LINE_FRAMING_BYTES;
+        // A request that names only a host has no path.
+        String path = Objects.requireNonNullElse(request.getHttpURI().getPathQuery(), "");
+        int lineBytes = request.getMethod().length() + path.length() + LINE_FRAMING_BYTES;
         return lineBytes
                 + request.getHeaders().stream()
                         .mapToInt(RequestHeadLimit::fieldBytes)
