Refuse each waiting call whose deadline is too near

Cause: only the first waiting call was checked, so a less urgent one could wait until its deadline and be reported as timed out. Calls also waited when no upstream was left, and short waits all gave the same Retry-After.

Measured: CallConcurrencyTest and FairSharesTest pass.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallConcurrency.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallConcurrency.java
@@ -173,17 +173,19 @@
     /** Returns the next waiting call that is to be sent or refused now; empty when all have to wait on. */
     public synchronized Optional<Released<T>> next(View all, long nowMillis) {
         View view = healthy(all, nowMillis);
+        Optional<Call<T>> late = queue.firstWithDeadlineBefore(nowMillis + durations.meanMillis());
+        if (late.isPresent()) {
+            queue.remove(late.get().request());
+            return Optional.of(new Released<>(late.get().request(), refuse(view, 0, nowMillis)));
+        }
         Optional<Call<T>> first = queue.first();
         if (first.isEmpty()) {
             return Optional.empty();
         }
         T request = first.get().request();
-        if (nowMillis + durations.meanMillis() > first.get().deadlineMillis()) {
-            queue.remove(request);
-            return Optional.of(new Released<>(request, refuse(view, 0, nowMillis)));
-        }
         Decision decision;
-        if (isScarce(view, nowMillis)) {
+        // Without any upstream the call is released, so that its caller learns of it.
+        if (!view.candidates().isEmpty() && isScarce(view, nowMillis)) {
             refill(view, nowMillis);
             if (!maySend(first.get(), view, nowMillis)) {
                 return Optional.empty();
@@ -367,9 +369,7 @@
     }
 
     private boolean maySend(Call<T> call, View view, long nowMillis) {
-        return !view.candidates().isEmpty()
-                && creditMillis + advanceMillis(call) >= 0
-                && inFlight <= Math.ceil(part(view, nowMillis));
+        return creditMillis + advanceMillis(call) >= 0 && inFlight <= Math.ceil(part(view, nowMillis));
     }
 
     private Decision sendWithoutLimit(View view, long nowMillis) {
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallQueue.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallQueue.java
@@ -43,6 +43,14 @@
                 : Optional.of(entries.first().call());
     }
 
+    /** Returns the first call whose deadline is before a time. */
+    Optional<CallConcurrency.Call<T>> firstWithDeadlineBefore(double millis) {
+        return entries.stream()
+                .map(Entry::call)
+                .filter(call -> call.deadlineMillis() < millis)
+                .findFirst();
+    }
+
     int size() {
         return entries.size();
     }
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/CallConcurrencyTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/CallConcurrencyTest.java
@@ -162,7 +162,21 @@
         assertEquals(refused.action(), Action.REFUSE);
         assertTrue(refused.retryAfterMillis() > 0, "the caller must not come back before a slot is free");
         calls.offer(new Call<>("third", 2, 5_000, 5_000, false), view, 0);
-        assertEquals(calls.next(view, 4_990).orElseThrow().decision().action(), Action.REFUSE);
+        calls.offer(new Call<>("urgent", 0, 9_000, 9_000, false), view, 0);
+        CallConcurrency.Released<String> late = calls.next(view, 4_990).orElseThrow();
+        assertEquals(late.request(), "third");
+        assertEquals(late.decision().action(), Action.REFUSE);
+    }
+
+    // Guards against calls that wait for their deadline when no upstream is left.
+    @Test
+    public void callsAreReleasedWithoutUpstreams() {
+        CallConcurrency<String> calls = calls();
+        View view = new View(List.of(candidate(UPSTREAM, 8)), 40, 85, 85);
+        calls.offer(call("first", 2, 0), view, 0);
+        calls.offer(new Call<>("second", 2, 5_000, 5_000, false), view, 0);
+        View none = new View(List.of(), 40, 85, 85);
+        assertEquals(calls.next(none, 10).orElseThrow().decision().action(), Action.SEND_FREELY);
     }
 
     // Guards against turns for an upstream that accepts no connection while the others have slots.
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ServiceAdmission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ServiceAdmission.java
@@ -81,7 +81,7 @@
                         FailureType.OVERLOADED,
                         "the slots of " + service + " are in use; the call would wait "
                                 + Math.round(decision.waitMillis()) + " ms or more")
-                .withRetryAfterMillis(Math.max(UpstreamSelection.BUSY_RETRY_MILLIS, decision.retryAfterMillis()));
+                .withRetryAfterMillis(UpstreamSelection.BUSY_RETRY_MILLIS + decision.retryAfterMillis());
     }
 
     void remove(Waiter waiter) {
