Share services between routers only where there are many of them

EndlessResponseTest.soundRequestsAreServedBesideEndlessOnes served 79 of 200 requests and LargeBodiesTest.ordinaryTrafficIsServedAsBefore got a 503: with one router the shares of services refused calls that the upstreams' own queues take. Urgency follows the account's and then the route's priority, as at engines.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -132,7 +132,8 @@
         this.crashGuard = new CrashGuard(context, request, caller, account, body);
         this.cost = new RequestCost(context, caller, route, account, service);
         this.selection = new UpstreamSelection(context, caller, route, account, service, priority, this);
-        this.admission = new AccountAdmission(context, caller, account, context.timers().monotonicMillis());
+        this.admission =
+                new AccountAdmission(context, caller, account, context.timers().monotonicMillis());
     }
 
     /** Starts the deadline and makes the first attempt. */
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -4,7 +4,9 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.EngineProfile;
 import io.agatelane.core.fleet.FleetAccount;
+import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetService;
+import io.agatelane.core.fleet.PriorityLevels;
 import io.agatelane.core.fleet.Prompt;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.Route;
@@ -100,7 +102,7 @@
         Optional<Selected> selected;
         boolean isNew = isFirst && !isNext && tried.isEmpty();
         if (prompt.isPresent()) {
-            if (isNew) {
+            if (isNew && hasManyRouters()) {
                 EngineAdmission shares = context.engineAdmission(service);
                 shares.offer(demandKey(), shares.workMillis(prompt.get(), engine.get()), caller.id(), nowMillis);
             }
@@ -112,7 +114,7 @@
                     selectEngine(snapshot, isFirst ? engines : engines.withoutRoomLimit(), prompt.get(), engine.get());
         } else {
             List<Candidate> admitted = candidates;
-            if (engine.isEmpty() && tried.isEmpty() && !candidates.isEmpty()) {
+            if (engine.isEmpty() && tried.isEmpty() && !candidates.isEmpty() && hasManyRouters()) {
                 Decision decision = decide(candidates, nowMillis, leftMillis);
                 if (decision.action() == Action.WAIT) {
                     return Optional.empty();
@@ -132,7 +134,7 @@
             checkQueue(choice, nowMillis);
         }
         checkTime(choice, leftMillis);
-        if (prompt.isPresent() && tried.isEmpty()) {
+        if (prompt.isPresent() && tried.isEmpty() && hasManyRouters()) {
             EngineAdmission shares = context.engineAdmission(service);
             shares.recordAdmitted(demandKey(), shares.workMillis(prompt.get(), engine.get()), nowMillis);
         }
@@ -166,8 +168,18 @@
         return decision;
     }
 
+    // A few routers know each other's requests in time, and upstreams have room for what is in flight between them.
+    private boolean hasManyRouters() {
+        return context.state().routerCount() > CandidateSampler.MAX_ROUTERS_WITHOUT_SAMPLING;
+    }
+
     private int urgency() {
-        return account.map(FleetAccount::priority).orElse(OptionalInt.empty()).orElse(route.priority());
+        PriorityLevels levels = context.state()
+                .snapshot()
+                .config()
+                .map(FleetConfig::priorityLevels)
+                .orElse(PriorityLevels.NONE);
+        return levels.level(account.map(FleetAccount::priority).orElse(OptionalInt.empty()), route.priority());
     }
 
     private ServiceDemand.Key demandKey() {
@@ -257,7 +269,7 @@
             EngineProfile engine,
             PrefixLocator prefixLocator,
             long newest) {
-        if (context.state().routerCount() <= CandidateSampler.MAX_ROUTERS_WITHOUT_SAMPLING) {
+        if (!hasManyRouters()) {
             return allowed;
         }
         CandidateSampler sampler = new CandidateSampler(
