--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallConcurrency.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallConcurrency.java
@@ -35,14 +35,11 @@
     // Demand relative to the slots with which a scarce service stays scarce, although the upstreams look less full.
     private static final double STILL_SCARCE_DEMAND = 0.95;
     // What the shares of accounts admit, relative to the slots: a little more than fits, so that a call waits when a
-    // slot
-    // becomes free. The parts of the routers refuse what is too much.
+    // slot becomes free. The parts of the routers refuse what is too much.
     private static final double SHARED_CAPACITY = 1.05;
     // Calls of accounts within their share that a router may send before its part has paid for them. Their sum fits
-    // into
-    // the slots, and the other accounts' calls wait for longer instead. 85 simulated routers with 0.2 slots each
-    // refused
-    // 15 in 100 of these calls without it, and 7 with it.
+    // into the slots, and the other accounts' calls wait for longer instead. Without it, routers whose part is less
+    // than a slot refuse many of these calls.
     private static final double CALLS_IN_ADVANCE = 2;
     private static final double MILLIS_PER_SECOND = 1_000;
     // An upstream that has failed this often in a row gets no turn for some time; then one call tries it again.
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallPace.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CallPace.java
@@ -10,14 +10,12 @@
  */
 final class CallPace {
     // Share of the upstream's queue that is to be in use: enough to keep the slots busy, with room for the calls that
-    // several routers happen to send at once. In simulations of 85 routers, upstreams with 6 slots and a queue of 9
-    // refused 0.5 in 100 arrivals with 0.27, and 0.65 with 0.3; with 0.15 an eighth of the slots stayed unused.
+    // several routers happen to send at once. A longer queue is refused more often, a shorter one leaves slots unused.
     private static final double TARGET_QUEUE_SHARE = 0.26;
     // Longest queue, relative to the slots, that is made use of; in a longer one calls would lose their objective.
     private static final int MAX_QUEUE_FACTOR = 2;
     // Change of the pace per second when all slots are free, or when the queue is as long as the slots and its target.
-    // In
-    // simulations of 7 routers, 1 instead left 6 in 100 slots unused.
+    // A slower change leaves slots unused after each dip of the demand.
     private static final double GAIN_PER_SECOND = 1.5;
     // A report says nothing about a longer time before it.
     private static final long MAX_STEP_MILLIS = 300;
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CapacityEstimate.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CapacityEstimate.java
@@ -10,12 +10,11 @@
     // wait for memory also when the engines have time for all of them.
     private static final double SATURATED_SHARE = 0.1;
     // Time for which a service counts as saturated after the last report that says so. Reports are up to 1 s old, and
-    // the
-    // shares themselves end the saturation: with less time the service would change between both states.
+    // the shares themselves end the saturation: with less time the service would change between both states.
     private static final long SATURATED_MILLIS = 3_000;
     private static final double TIME_CONSTANT_MILLIS = 1_000;
     // Part of the admitted work that the estimate tends to while requests are refused for lack of room. Such refusals
-    // reach accounts within their share too; in simulations, 1 instead of 0.9 served them 0.80 instead of 0.93.
+    // reach accounts within their share too, so the estimate has to stay below what was admitted.
     private static final double SUSTAINED_SHARE = 0.9;
     // Growth per second while the shares leave the engines unsaturated: the estimate is then too low.
     private static final double GROWTH_PER_SECOND = 0.2;
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PeerLoads.java
@@ -21,7 +21,7 @@
     // Minimum time between two summations; digests are older than that anyway.
     private static final long REFRESH_MILLIS = 40;
     // Half-life of the mean load: longer than reports are old, so that routers do not all follow a difference between
-    // upstreams that has ended by then. With 3 s, 7 routers had a later first token in the simulation.
+    // upstreams that has ended by then.
     private static final double MEAN_HALF_LIFE_MILLIS = 1_000;
     // Time after which half of the prefill in a report is done.
     private static final double WORK_HALF_LIFE_MILLIS = 200;
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
@@ -26,12 +26,12 @@
      */
     public static final int MAX_ROUTERS_WITHOUT_SAMPLING = 13;
 
-    // Upstreams that the router's name selects: in its zone and in all zones. With 85 routers and 63 engines in the
-    // simulation, 2 to 6 were nearly equal; of more, each gets too few requests of one router.
+    // Upstreams that the router's name selects: in its zone and in all zones. Of more, each would get too few requests of
+    // one router for its own counts to matter.
     private static final int SAME_ZONE_CANDIDATES = 2;
     private static final int ALL_ZONES_CANDIDATES = 3;
     // Random upstreams: one with the newest weights, so that a free upstream of other routers is found, and one with
-    // older weights. A second random one made the first token later in the simulation.
+    // older weights.
     private static final int RANDOM_CANDIDATES = 1;
     private static final int OLDER_CANDIDATES = 1;
     // Few engines cache a prefix, but enough that one can take over the requests that are queued at another.
--- a/agatelane-node/src/main/java/io/agatelane/node/cfg/HeldBytes.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/cfg/HeldBytes.java
@@ -10,8 +10,7 @@
  */
 public record HeldBytes(long requestBytes, long responseBytes, long upstreamBytes, long unreadMillis) {
     // The rest is for connections and streams in flight (estimated at up to 100 KB for each of 450 requests with the
-    // heap
-    // of 126 MB) and for what the router knows of the fleet.
+    // heap of 126 MB) and for what the router knows of the fleet.
     private static final double DEFAULT_BODY_HEAP_SHARE = 0.4;
     // A stream holds some KB as long as its caller reads.
     private static final double DEFAULT_RESPONSE_HEAP_SHARE = 0.125;
