--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
@@ -16,8 +16,8 @@
  * all upstreams, all would pick the same one. Each router therefore compares a few upstreams that its name selects and a
  * random one. So an upstream gets most of its requests from a few routers, each of which knows its own requests exactly
  * and at once, while the reports of the others are older than most prefills last. No upstream receives more than a small
- * share of the requests that arrive until the loads are announced again. For requests with a long prefix the sample depends only on the
- * prefix, so that few engines cache the prefix and later requests are sent to them.
+ * share of the requests that arrive until the loads are announced again. For requests with a long prefix the sample
+ * depends only on the prefix, so that few engines cache the prefix and later requests are sent to them.
  */
 public final class CandidateSampler {
     /**
@@ -26,8 +26,8 @@
      */
     public static final int MAX_ROUTERS_WITHOUT_SAMPLING = 13;
 
-    // Upstreams that the router's name selects: in its zone and in all zones. Of more, each would get too few requests of
-    // one router for its own counts to matter.
+    // Upstreams that the router's name selects: in its zone and in all zones. Of more, each would get too few requests
+    // of one router for its own counts to matter.
     private static final int SAME_ZONE_CANDIDATES = 2;
     private static final int ALL_ZONES_CANDIDATES = 3;
     // Random upstreams: one with the newest weights, so that a free upstream of other routers is found, and one with
