Repeat rejected reads of the store less and less often

Such a router read every 150 to 400 ms, or with each digest of its relay, and rejected calls are charged.

The pause now doubles with each failed read, up to 1.2 s. StorePollerTest.rejectedReadsAreRepeatedLessAndLessOften allows 12 reads in 10 s, where the former pauses make about 36.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -32,9 +32,13 @@
  */
 public final class StorePoller {
     private static final EventLog LOG = EventLog.of(StorePoller.class);
-    // A failed read is retried soon, with jitter so that the routers do not all retry at the same time.
+    // A failed read is retried soon, with jitter so that the routers do not all retry at the same time. Further
+    // failures
+    // double the pause: the store charges for the calls that it rejects, too.
     private static final long RETRY_MILLIS = 150;
+    private static final long MAX_RETRY_MILLIS = 1_200;
     private static final long RETRY_JITTER_MILLIS = 250;
+    private static final int MAX_SHIFT = 10;
     // Upstreams whose entries expired during an outage of the store are listed again about two seconds after it.
     private static final long OUTAGE_GRACE_MILLIS = 2_000;
     // Interval between own reads while a relay confirms the content; these reads refresh the list of routers.
@@ -69,6 +73,7 @@
     private long readStartedMillis;
     private long newestReadMillis;
     private boolean storeReachable = true;
+    private int failedReads;
     private long storeRegainedMillis;
     private boolean closed;
 
@@ -141,7 +146,8 @@
         }
         boolean operatorChanged = content.operatorEntries().mayBeOlderThan(relayed.operatorEntries());
         boolean upstreamsChanged = content.upstreamEntries().mayBeOlderThan(relayed.upstreamEntries());
-        long gapMillis = operatorChanged ? MIN_READ_GAP_MILLIS : DIRECTORY_READ_GAP_MILLIS;
+        long gapMillis =
+                Math.max(operatorChanged ? MIN_READ_GAP_MILLIS : DIRECTORY_READ_GAP_MILLIS, failurePauseMillis());
         if (!reading && (operatorChanged || upstreamsChanged) && nowMillis - readStartedMillis >= gapMillis) {
             if (operatorChanged) {
                 readOnce(read -> {});
@@ -164,8 +170,8 @@
             timers.after(RELAYED_CHECK_MILLIS, this::read);
             return;
         }
-        Consumer<Boolean> scheduleNext = succeeded ->
-                timers.after(succeeded ? pollMillis : RETRY_MILLIS + random.nextLong(RETRY_JITTER_MILLIS), this::read);
+        Consumer<Boolean> scheduleNext = succeeded -> timers.after(
+                succeeded ? pollMillis : failurePauseMillis() + random.nextLong(RETRY_JITTER_MILLIS), this::read);
         if (isConfirmedByRelay()) {
             readPossiblyStale(scheduleNext);
         } else {
@@ -173,6 +179,11 @@
         }
     }
 
+    // Pause after the reads that have failed in a row; 0 after a successful one.
+    private long failurePauseMillis() {
+        return failedReads == 0 ? 0 : Math.min(MAX_RETRY_MILLIS, RETRY_MILLIS << Math.min(failedReads - 1, MAX_SHIFT));
+    }
+
     private boolean isConfirmedByRelay() {
         long nowMillis = timers.monotonicMillis();
         return relayVerifiedAt
@@ -243,6 +254,7 @@
     }
 
     private void recordFailure(AgatelaneException failure) {
+        failedReads++;
         metrics.counter("store_read_failures_total").inc();
         if (storeReachable) {
             LOG.event("dependency_lost")
@@ -255,6 +267,7 @@
 
     private void apply(FleetReadResult read, ClockReading verifiedAt) {
         metrics.counter("store_reads_total").inc();
+        failedReads = 0;
         if (!storeReachable) {
             storeReachable = true;
             storeRegainedMillis = timers.monotonicMillis();
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.fleet;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
 import io.agatelane.node.fakes.FakeControl;
@@ -32,4 +33,24 @@
         control.advance(2 * POLL_MILLIS);
         assertEquals(state.snapshot().view().newestWeightsVersions().get(FakeFleet.MODEL), (Long) 2L);
     }
+
+    // Guards against routers that cost the store several rejected calls a second each while it turns them away, and
+    // against one that notices late that the store is back.
+    @Test
+    public void rejectedReadsAreRepeatedLessAndLessOften() {
+        FakeControl control = new FakeControl();
+        FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
+        FleetState state = new FleetState("vm-1");
+        new StorePoller(fleet, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry()).start();
+        control.advance(5_000);
+        fleet.setStoreDown(true);
+        int before = fleet.newestReads();
+        control.advance(10_000);
+        int rejected = fleet.newestReads() - before;
+        assertTrue(rejected <= 12, "rejected " + rejected);
+        fleet.setStoreDown(false);
+        fleet.requestVersion(2);
+        control.advance(1_500);
+        assertEquals(state.snapshot().view().newestWeightsVersions().get(FakeFleet.MODEL), (Long) 2L);
+    }
 }
