Announce the close after a refusal whose body has not arrived

The request before it had been refused before its body was read, and where the body had not arrived by then the server closes the connection without notice.

The refusal now reads what has arrived or carries Connection: close. refusalBeforeTheBodyAnnouncesTheClose sends a head without its body; it fails without the change. The same path refuses chats of the own interface; the fleet router reads bodies before it refuses.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/ProblemDocuments.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/ProblemDocuments.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Response;
+import org.eclipse.jetty.server.ResponseUtils;
 import org.eclipse.jetty.util.Callback;
 
 /** Writes failures as problem documents (RFC 9457). */
@@ -45,6 +46,8 @@
             // The body may not have been read to its end, so the connection cannot carry another request.
             response.getHeaders().put(HttpHeader.CONNECTION, "close");
         }
+        // A refusal may come before the body has arrived; the server then closes the connection, which is announced.
+        ResponseUtils.ensureConsumeAvailableOrNotPersistent(response.getRequest(), response);
         byte[] body = toJson(failure, requestId).getBytes(StandardCharsets.UTF_8);
         response.write(true, ByteBuffer.wrap(body), callback);
     }
--- a/agatelane-node/src/test/java/io/agatelane/node/io/service/HttpRouter.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/service/HttpRouter.java
@@ -93,6 +93,10 @@
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
 
+    int port() {
+        return connector.getLocalPort();
+    }
+
     HttpResponse<String> book(String key) throws IOException, InterruptedException {
         return send("POST", "/services/permits/renewals", "x", "Idempotency-Key", key);
     }
--- a/agatelane-node/src/test/java/io/agatelane/node/io/service/ServiceTrafficTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/service/ServiceTrafficTest.java
@@ -6,8 +6,15 @@
 import io.agatelane.node.api.MemberState;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
+import java.io.BufferedReader;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.apache.commons.rng.simple.RandomSource;
 import org.testng.annotations.AfterMethod;
@@ -80,6 +87,24 @@
         assertEquals(service.runs("k"), 1);
     }
 
+    /** Guards against a connection that is closed without notice after a refusal whose body had not arrived. */
+    @Test
+    public void refusalBeforeTheBodyAnnouncesTheClose() throws Exception {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), router.port())) {
+            String head = "POST /services/other/renewals HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n"
+                    + "Authorization: Bearer wrong\r\n\r\n";
+            socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            List<String> lines = new ArrayList<>();
+            for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                lines.add(line);
+            }
+            assertTrue(lines.get(0).contains(" 401 "), lines.get(0));
+            assertTrue(lines.contains("Connection: close"), lines.toString());
+        }
+    }
+
     /** Guards against a connection that is closed without notice after a body over the limit was refused. */
     @Test
     public void requestAfterTooLargeBodyIsServed() throws Exception {
