Hash each engine once for a sample, and report fewer idle upstreams

Sampling hashed the ids of engines in its comparators, twice for each comparison, and selected the engines for short prompts anew for each request; routers reported all upstreams of which they had samples, also idle ones of usual speed.

Ids are hashed once for each sample, the selection is made once for each read of the store, and idle upstreams are reported only if their speed deviates by a tenth. What this saves was not measured when this was committed.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/CandidateSampler.java
@@ -122,13 +122,19 @@
 
     private static List<Candidate> ranked(List<Candidate> all, String seed) {
         long hash = Rendezvous.hash(seed);
-        List<Candidate> ranked = new ArrayList<>(all);
-        ranked.sort(Comparator.comparing(CandidateSampler::isSuspicious)
-                .thenComparingLong(candidate -> Rendezvous.weight(
-                        hash, Rendezvous.hash(candidate.upstream().id()))));
-        return ranked;
+        // Hashing in the comparator would hash each id several times for each request.
+        List<Ranked> ranked = new ArrayList<>(all.size());
+        for (Candidate candidate : all) {
+            long weight =
+                    Rendezvous.weight(hash, Rendezvous.hash(candidate.upstream().id()));
+            ranked.add(new Ranked(candidate, isSuspicious(candidate), weight));
+        }
+        ranked.sort(Comparator.comparing(Ranked::suspicious).thenComparingLong(Ranked::weight));
+        return ranked.stream().map(Ranked::candidate).toList();
     }
 
+    private record Ranked(Candidate candidate, boolean suspicious, long weight) {}
+
     private static boolean isSuspicious(Candidate candidate) {
         return candidate.estimate().failures() > SUSPICIOUS_FAILURES
                 || candidate.estimate().oldestUnansweredMillis() > SUSPICIOUS_UNANSWERED_MILLIS;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -2,6 +2,7 @@
 
 import io.agatelane.core.fleet.CacheStore;
 import io.agatelane.core.fleet.ClockReading;
+import io.agatelane.core.fleet.DurationEvidence;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.core.fleet.PeerLoad;
@@ -33,6 +34,7 @@
 public final class FleetState {
     // Failures that have decayed below this do not affect the choice of an upstream, so they are not reported.
     private static final double MIN_REPORTED_FAILURES = 0.1;
+    private static final double MIN_REPORTED_DEVIATION = 0.1;
     // Observations of an upstream's speed that have decayed below this change the estimate by a few percent at most.
     private static final double MIN_REPORTED_WEIGHT = 0.3;
     // Each hint and each read of the roll-out record renews a reservation, so those of a failed holder expire soon.
@@ -211,10 +213,16 @@
                 .map(upstream -> load(upstream).digest(keyHash(upstream), nowMillis))
                 .filter(load -> load.inFlight() > 0
                         || load.failures() > MIN_REPORTED_FAILURES
-                        || load.pace().evidence().weight() > MIN_REPORTED_WEIGHT)
+                        || isNotable(load.pace().evidence()))
                 .toList();
     }
 
+    // Idle upstreams of usual speed are left out, because each entry costs bytes and time at all routers.
+    private static boolean isNotable(DurationEvidence evidence) {
+        return evidence.weight() > MIN_REPORTED_WEIGHT
+                && Math.abs(evidence.durationFactor() - 1) > MIN_REPORTED_DEVIATION;
+    }
+
     boolean isReserved(FleetUpstream upstream, long nowMillis) {
         return reservedUntilMillis.getOrDefault(keyHash(upstream), 0L) > nowMillis;
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.forward;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.FleetView;
 import io.agatelane.core.fleet.Route;
 import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.command.NormalDuration;
@@ -10,6 +11,7 @@
 import io.agatelane.core.fleet.command.PrefillSpeed;
 import io.agatelane.core.fleet.command.ServiceTimes;
 import io.agatelane.core.fleet.command.WindowedRetryBudget;
+import io.agatelane.core.fleet.query.ShortPromptEngines;
 import io.agatelane.core.fleet.query.UpstreamChooser;
 import io.agatelane.core.limits.AccountDemand;
 import io.agatelane.core.limits.ByteBudget;
@@ -20,12 +22,14 @@
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.cfg.FleetSettings;
 import io.agatelane.node.cfg.HeldBytes;
+import io.agatelane.node.fleet.FleetSnapshot;
 import io.agatelane.node.fleet.FleetState;
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.random.RandomGenerator;
 import org.eclipse.jetty.client.HttpClient;
@@ -53,6 +57,7 @@
     private final Map<String, ServiceTimes> eventTimes = new ConcurrentHashMap<>();
     private final OutputTokens outputTokens = new OutputTokens();
     private final Map<String, WaitingCalls> waiting = new ConcurrentHashMap<>();
+    private final Map<String, ShortPromptSelection> shortPromptSelections = new ConcurrentHashMap<>();
     private final ByteBudget responseBytes;
     private final KeyedByteBudget upstreamBytes;
     private final AccountRateLimiter accountLimiter;
@@ -155,6 +160,19 @@
         return accountLimiter;
     }
 
+    /** Ids of the engines of a service that long prompts use last. */
+    Set<String> shortPromptEngines(FleetSnapshot snapshot, String service) {
+        ShortPromptSelection known = shortPromptSelections.get(service);
+        if (known == null || known.view() != snapshot.view()) {
+            known = new ShortPromptSelection(snapshot.view(), ShortPromptEngines.of(snapshot.usable(service)));
+            shortPromptSelections.put(service, known);
+        }
+        return known.engineIds();
+    }
+
+    // Selected once for each read of the store, not for each request.
+    private record ShortPromptSelection(FleetView view, Set<String> engineIds) {}
+
     /** Takes one retry to a service from its budget; false when the budget is used up. */
     boolean tryTakeRetry(String service, long nowMillis) {
         return budget(service).tryTake(nowMillis, state.routerCount());
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamSelection.java
@@ -21,7 +21,6 @@
 import io.agatelane.core.fleet.query.PrefixLocator;
 import io.agatelane.core.fleet.query.PromptRequest;
 import io.agatelane.core.fleet.query.QueueLimit;
-import io.agatelane.core.fleet.query.ShortPromptEngines;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.node.api.CallerRequest;
@@ -276,7 +275,7 @@
                 context.settings().zone(),
                 newest,
                 context.settings().vmName(),
-                ShortPromptEngines.of(snapshot.usable(service)));
+                context.shortPromptEngines(snapshot, service));
         if (prefixLocator.hasLongPrefix()) {
             return sampler.sampleForPrefix(
                     allowed,
