Count routers that two relays report once in account limits

While a relay takes over from another, the sums of both contain the same routers for up to 700 ms. The limiter then counted the use of a zone twice, emptied the bucket and refused requests for seconds to make up for it.

The routers in contact are part of the sums: where they are more than are registered, all sums are scaled down. routersThatTwoRelaysReportCountOnce fails without this.

--- a/agatelane-core/src/main/java/io/agatelane/core/limits/AccountDemand.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/limits/AccountDemand.java
@@ -41,6 +41,11 @@
                 account, demandPerSecond + other.demandPerSecond, admittedPerSecond + other.admittedPerSecond);
     }
 
+    /** Returns the demand with both rates multiplied by a factor. */
+    public AccountDemand times(double factor) {
+        return new AccountDemand(account, Math.round(demandPerSecond * factor), Math.round(admittedPerSecond * factor));
+    }
+
     /** Returns the difference of two demands of the same account, with no rate below 0. */
     public AccountDemand minus(AccountDemand subtracted) {
         return new AccountDemand(
--- a/agatelane-core/src/main/java/io/agatelane/core/limits/command/AccountRateLimiter.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/limits/command/AccountRateLimiter.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
 /**
  * Enforces rate limits of client accounts over all routers. Thread-safe.
@@ -215,8 +216,22 @@
             if (nowMillis - contactMillis <= RELAY_CHANGE_MILLIS && !newest.containsKey(AccountDemand.ROUTERS)) {
                 newest = others;
             }
-            others = Map.copyOf(newest);
+            others = withoutDoubleCounts(newest);
             refreshedMillis = nowMillis;
         }
     }
+
+    // While another relay takes over, the sums of both contain the same routers, which then seem to be more than there
+    // are. Counted twice, their use would empty the buckets and refuse requests within the limit for seconds.
+    private Map<Long, AccountDemand> withoutDoubleCounts(Map<Long, AccountDemand> sums) {
+        AccountDemand routers = sums.get(AccountDemand.ROUTERS);
+        long registered = fleet.registeredRouters() - 1L;
+        if (routers == null || registered <= 0 || routers.demandPerSecond() <= registered) {
+            return Map.copyOf(sums);
+        }
+        double share = (double) registered / routers.demandPerSecond();
+        return sums.entrySet().stream()
+                .collect(Collectors.toUnmodifiableMap(
+                        Map.Entry::getKey, entry -> entry.getValue().times(share)));
+    }
 }
--- a/agatelane-core/src/test/java/io/agatelane/core/limits/AccountRateLimiterTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/limits/AccountRateLimiterTest.java
@@ -253,6 +253,44 @@
         assertTrue(afterPause.level() <= 0, afterPause.toString());
     }
 
+    // Guards against requests within the limit that are refused for seconds because two relays report the same routers
+    // while one takes over from the other.
+    @Test
+    public void routersThatTwoRelaysReportCountOnce() {
+        int routers = 40;
+        AccountLimit limit = new AccountLimit(REQUESTS, 1_000, 1_000, 0);
+        AccountRateLimiter.Fleet fleet = new AccountRateLimiter.Fleet() {
+            @Override
+            public Map<Long, AccountDemand> others(long nowMillis) {
+                return Map.of(
+                        AccountDemand.ROUTERS,
+                        new AccountDemand(AccountDemand.ROUTERS, 2 * (routers - 1), 0),
+                        1L,
+                        AccountDemand.ofUnits(1, 2 * 900, 2 * 900));
+            }
+
+            @Override
+            public int registeredRouters() {
+                return routers;
+            }
+
+            @Override
+            public LimitMargin margin() {
+                return new LimitMargin(8_000, 0.1, 0);
+            }
+        };
+        AccountRateLimiter limiter = new AccountRateLimiter(fleet, new Random(1), 0);
+        for (long now = 0; now <= 10_000; now += 100) {
+            limiter.reports(Map.of(1L, limit), now);
+            LimitedRequest request = limiter.arrive(1, limit, 1, now);
+            boolean admitted = limiter.decide(request, now).admitted();
+            assertTrue(admitted || now < 2_000, "at " + now);
+            if (admitted) {
+                limiter.recordSent(request, now);
+            }
+        }
+    }
+
     // Guards against time that is counted twice when threads take the lock in another order than they read the time.
     @Test
     public void timeIsCountedOnce() {
