--- a/agatelane-lab/src/test/java/io/agatelane/lab/engine/EngineServerTest.java
+++ b/agatelane-lab/src/test/java/io/agatelane/lab/engine/EngineServerTest.java
@@ -203,6 +203,8 @@
     private LabResponse call(String requestId, ObjectNode body, Map<String, String> headers) {
         Map<String, String> all = new HashMap<>(headers);
         all.put("X-Request-Id", requestId);
+        // A kept connection to an engine that has crashed may not be known as closed yet.
+        all.put("Connection", "close");
         return client.call(HttpMethod.POST, engine.url() + "/v1/chat/completions", body, all, TIMEOUT_MILLIS)
                 .join();
     }
