--- a/agatelane-lab/src/test/java/io/agatelane/lab/engine/EngineServerTest.java
+++ b/agatelane-lab/src/test/java/io/agatelane/lab/engine/EngineServerTest.java
@@ -88,7 +88,8 @@
     /** Guards against an engine that restarts after a crash with its old cache or its old incarnation. */
     @Test
     public void crashEmptiesTheEngineAndChangesTheIncarnation() throws InterruptedException {
-        chat("before", "s", 1, "", 0);
+        // Closed by the call, because a kept connection to a crashed engine may not be known as closed yet.
+        read(call("before", body("s", 1, "", 0), Map.of("Connection", "close")));
         String incarnation = engine.incarnation();
         engine.applyFaults(node().put("crash", 1));
         awaitIncarnationOtherThan(incarnation);
@@ -203,8 +204,6 @@
     private LabResponse call(String requestId, ObjectNode body, Map<String, String> headers) {
         Map<String, String> all = new HashMap<>(headers);
         all.put("X-Request-Id", requestId);
-        // A kept connection to an engine that has crashed may not be known as closed yet.
-        all.put("Connection", "close");
         return client.call(HttpMethod.POST, engine.url() + "/v1/chat/completions", body, all, TIMEOUT_MILLIS)
                 .join();
     }
