Log the gap before named weights, and starts on replaced weights

The log could not tell a version that was read late from a request that waited long at its engine: it had the first read of a version and the time of the send only.

weights_named states the time since the read before, request_sent the age of the newer weights as the router knows it, and replaced_weights_started the wait of each response on replaced weights. Two histograms show the age and the wait. Nothing is decided by them.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -54,6 +54,7 @@
     private static final long DIRECTORY_READ_GAP_MILLIS = 1_500;
     // Several relayed reports of one change cause a single read.
     private static final long MIN_READ_GAP_MILLIS = 150;
+    private static final long UNKNOWN_MILLIS = -1;
 
     private final FleetSource source;
     private final FleetState state;
@@ -278,7 +279,7 @@
         FleetView next = merge(read.view());
         RolloutRecord record = rolloutRecord(read.routerEntries());
         next = new FleetView(next.config(), next.upstreams(), next.newestWeightsVersions(), record.reserved());
-        logChanges(view, next);
+        logChanges(view, next, unreadMillis(verifiedAt));
         view = next;
         state.update(next, verifiedAt, record);
         listeners.forEach(Runnable::run);
@@ -336,7 +337,15 @@
         }
     }
 
-    private static void logChanges(FleetView before, FleetView after) {
+    // Time since the read before, within which the content may have changed; unknown before the first read.
+    private long unreadMillis(ClockReading verifiedAt) {
+        return state.snapshot()
+                .configVerifiedAt()
+                .map(previous -> previous.ageMillis(verifiedAt.monotonicMillis(), verifiedAt.epochMillis()))
+                .orElse(UNKNOWN_MILLIS);
+    }
+
+    private static void logChanges(FleetView before, FleetView after, long unreadMillis) {
         long oldVersion = before.config().map(config -> config.version()).orElse(0L);
         long newVersion = after.config().map(config -> config.version()).orElse(0L);
         if (oldVersion != newVersion) {
@@ -351,6 +360,7 @@
                 LOG.event("weights_named")
                         .with("model", model)
                         .with("version", version)
+                        .with("unread_ms", unreadMillis)
                         .info();
             }
         });
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -278,7 +278,7 @@
         UpstreamAttempt attempt = new UpstreamAttempt(context, choice, work, attempts + 1, this);
         current = attempt;
         admission.recordSent(context.timers().monotonicMillis());
-        ForwardLog.sent(context, caller.id(), attempt.number(), choice, snapshot);
+        ForwardLog.sent(context, caller, attempt.number(), choice, snapshot);
         attempt.start(request.getMethod(), request.getHttpURI().getPathQuery(), headers, body, hasBody);
     }
 
@@ -341,6 +341,7 @@
             prefixLocator.ifPresent(
                     locator -> locator.placementsAfterPrefill(attempt.choice().candidate(), saveTo.isPresent())
                             .forEach(context.state().placements()::recordLocal));
+            ForwardLog.started(context, caller, attempt, now - attempt.startedMillis());
             caller.prompt()
                     .ifPresent(prompt -> upstreamResponse.weightsVersion().ifPresent(version -> context.state()
                             .recordWeightsVersion(attempt.upstream(), prompt.model(), version)));
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardLog.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.forward;
 
 import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.OutputEstimate;
 import io.agatelane.core.fleet.Prompt;
@@ -45,15 +46,17 @@
     }
 
     /** Logs that a request is sent to a chosen upstream, and why. */
-    static void sent(ForwardContext context, String id, int attempt, UpstreamChoice choice, FleetSnapshot snapshot) {
+    static void sent(
+            ForwardContext context, CallerRequest caller, int attempt, UpstreamChoice choice, FleetSnapshot snapshot) {
         Candidate chosen = choice.candidate();
         long peerAgeMillis = context.state().peerAgeMillis(context.timers().monotonicMillis());
         context.metrics().histogram("peer_load_age_ms").update(peerAgeMillis);
         LOG.event("request_sent")
-                .with("id", id)
+                .with("id", caller.id())
                 .with("send", attempt)
                 .with("upstream", chosen.upstream().key())
                 .with("weights", chosen.weightsVersion())
+                .with("replaced_ms", replacedMillis(context, caller, chosen))
                 .with("expected_ms", choice.expectedMillis())
                 .with("queue_ms", choice.queueMillis())
                 .with("prefill_ms", choice.prefillMillis())
@@ -70,6 +73,39 @@
                 .info();
     }
 
+    /**
+     * Logs that an upstream has begun to answer, if its weights are replaced by newer ones.
+     *
+     * @param waitMillis time since the request was sent
+     */
+    static void started(ForwardContext context, CallerRequest caller, UpstreamAttempt attempt, long waitMillis) {
+        Candidate chosen = attempt.choice().candidate();
+        long replacedMillis = replacedMillis(context, caller, chosen);
+        if (replacedMillis == UNKNOWN) {
+            return;
+        }
+        LOG.event("replaced_weights_started")
+                .with("id", caller.id())
+                .with("upstream", chosen.upstream().key())
+                .with("weights", chosen.weightsVersion())
+                .with("replaced_ms", replacedMillis)
+                .with("wait_ms", waitMillis)
+                .info();
+        context.metrics().histogram("replaced_weights_age_ms").update(replacedMillis);
+        context.metrics().histogram("replaced_weights_wait_ms").update(waitMillis);
+    }
+
+    // Time since weights were requested that replace those of an engine; negative when it has the newest.
+    private static long replacedMillis(ForwardContext context, CallerRequest caller, Candidate engine) {
+        ClockReading now = context.timers().now();
+        return caller.prompt()
+                .filter(prompt -> engine.weightsVersion() > 0)
+                .flatMap(prompt -> context.state().snapshot().requestedWeights(prompt.model()))
+                .flatMap(requested -> requested.replacementOf(engine.weightsVersion()))
+                .map(replacement -> replacement.readAt().ageMillis(now.monotonicMillis(), now.epochMillis()))
+                .orElse(UNKNOWN);
+    }
+
     /** Records how the time to the first byte of a response compares with the expected one. */
     static void firstByte(ForwardContext context, UpstreamChoice choice, long observedMillis) {
         double expectedMillis = Math.max(MIN_COMPARED_MILLIS, choice.expectedMillis());
