Show a time from a wall clock ahead that lets replaced weights back in

RequestedWeights.withReported takes a recorded time of a version that this router has not read as it stands, although the version must have been requested before the first read of a newer one. A router that missed a version in a gap uses replaced weights again when the holder's wall clock is ahead by more than 2 s (VERSION).

--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/StaleWeightsFilterTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/StaleWeightsFilterTest.java
@@ -85,6 +85,17 @@
         assertEquals(allowed(requested, 16_500, 1), List.of());
     }
 
+    // Guards against replaced weights that are used again, because another router records a time for a version between
+    // that lies after the first read of a newer version.
+    @Test
+    public void reportedTimesOfVersionsBetweenEndBeforeTheFirstReadOfANewerOne() {
+        RequestedWeights own = RequestedWeights.of(1, SEEN_AT_ZERO)
+                .with(3, new RequestedWeights.RequestTime(at(14_000), Optional.of(at(6_000))));
+        assertEquals(allowed(own, 24_000, 1), List.of());
+        RequestedWeights requested = own.withReported(Map.of(2L, at(20_000)), at(20_100));
+        assertEquals(allowed(requested, 24_000, 1), List.of());
+    }
+
     private static RequestedWeights afterGap() {
         return RequestedWeights.of(1, SEEN_AT_ZERO)
                 .with(2, new RequestedWeights.RequestTime(at(14_000), Optional.of(at(6_000))));
