Show retries that are queued on replaced weights beyond the allowed time

Retries have no room limit and no queue limit, and the check of the weights uses the time of the send only.

The test fails: a full engine with 8 s of prefill ahead is allowed 500 ms before the end of the allowed time.

--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/EngineCandidatesTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/EngineCandidatesTest.java
@@ -40,6 +40,26 @@
         assertTrue(candidates(requested, ALLOWED_MILLIS).isFull());
     }
 
+    // Guards against retries that are queued at a full engine shortly before its weights may not be used any more: they
+    // begin when the work ahead of them is done, which is later than the margin.
+    @Test
+    public void retriesAreNotQueuedOnReplacedWeightsBeyondTheAllowedTime() {
+        RequestedWeights requested = RequestedWeights.of(1, new RequestedWeights.RequestTime(START, Optional.of(START)))
+                .with(2, new RequestedWeights.RequestTime(START, Optional.of(START)));
+        UpstreamEstimate queued = new UpstreamEstimate(
+                20, PrefillBacklog.EMPTY.with(0, 8_000), 100, 0, 0, FleetFixtures.PROFILE.cacheTokens());
+        Candidate fullWithReplaced = FleetFixtures.candidate("c", "z", 1, queued);
+        long nowMillis = ALLOWED_MILLIS - 3_000;
+        EngineCandidates candidates = EngineCandidates.of(
+                List.of(fullWithReplaced),
+                Optional.of(requested),
+                new ClockReading(nowMillis, nowMillis),
+                ALLOWED_MILLIS,
+                PROMPT,
+                FleetFixtures.PROFILE);
+        assertEquals(candidates.withoutRoomLimit().withRoom(), List.of());
+    }
+
     private EngineCandidates candidates(RequestedWeights requested, long nowMillis) {
         return EngineCandidates.of(
                 List.of(fullWithNewest, idleWithReplaced),
