Show upstreams that are kept too long after an outage of the store

The 2 s for which missing upstreams are kept count from the router's own first successful read, which may come 1.45 s after the store is back, and end with the read after that. An upstream that left during the outage gets requests for up to 4.15 s after the return of the store (DRAIN binds after 3 s).

--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -53,4 +53,23 @@
         control.advance(1_500);
         assertEquals(state.snapshot().view().newestWeightsVersions().get(FakeFleet.MODEL), (Long) 2L);
     }
+
+    // Guards against upstreams that left while the store rejected this router, and that still get requests when the
+    // router is bound by the directory again, 3 s after the store is back.
+    @Test
+    public void upstreamsThatLeftDuringAnOutageAreDroppedInTime() {
+        for (long outageMillis = 8_000; outageMillis <= 9_400; outageMillis += 100) {
+            FakeControl control = new FakeControl();
+            FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 2);
+            FleetState state = new FleetState("vm-1");
+            new StorePoller(fleet, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry()).start();
+            control.advance(2_000);
+            fleet.setStoreDown(true);
+            control.advance(outageMillis);
+            fleet.setListed("e1", false);
+            fleet.setStoreDown(false);
+            control.advance(3_000);
+            assertEquals(state.snapshot().view().upstreams().size(), 1, "after an outage of ms " + outageMillis);
+        }
+    }
 }
