Show a configuration that counts as outdated after the clock is set back

StorePoller.compareWithRelay confirms the configuration only when the new time is later on both clocks. After the wall clock of a router is set back, no confirmation counts for as long, and the router still reads no newest state since the relay confirms its content. Requests with an API key get 503, and newer weights count from long before they were named.

--- a/agatelane-node/src/test/java/io/agatelane/node/fakes/FakeRouterControl.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fakes/FakeRouterControl.java
@@ -12,6 +12,7 @@
     private final Queue<Runnable> queued = new ArrayDeque<>();
     private boolean paused;
     private boolean dead;
+    private long wallClockErrorMillis;
 
     public FakeRouterControl(FakeControl shared) {
         this.shared = shared;
@@ -36,6 +37,11 @@
         queued.clear();
     }
 
+    /** Steps the wall clock of this router; a negative step sets it back. */
+    public void stepWallClock(long millis) {
+        wallClockErrorMillis += millis;
+    }
+
     public boolean isDead() {
         return dead;
     }
@@ -52,7 +58,7 @@
 
     @Override
     public long epochMillis() {
-        return shared.epochMillis();
+        return shared.epochMillis() + wallClockErrorMillis;
     }
 
     @Override
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -6,6 +6,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
+import io.agatelane.node.fakes.FakeRouterControl;
 import java.util.Random;
 import org.testng.annotations.Test;
 
@@ -54,6 +55,35 @@
         assertEquals(state.snapshot().view().newestWeightsVersions().get(FakeFleet.MODEL), (Long) 2L);
     }
 
+    // Guards against a router whose wall clock is set back and that counts its configuration as outdated for as long,
+    // although a relay confirms it: each request with an API key is refused.
+    @Test
+    public void relayConfirmsTheConfigurationAfterTheWallClockIsSetBack() {
+        FakeControl control = new FakeControl();
+        FakeRouterControl router = new FakeRouterControl(control);
+        FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
+        FleetState state = new FleetState("vm-1");
+        StorePoller poller =
+                new StorePoller(fleet, state, router, router, new Random(1), POLL_MILLIS, new MetricRegistry());
+        poller.start();
+        control.advance(POLL_MILLIS);
+        confirm(poller, router, control, 2_000);
+        router.stepWallClock(-20_000);
+        confirm(poller, router, control, 6_000);
+        long ageMillis = state.snapshot()
+                .configVerifiedAt()
+                .orElseThrow()
+                .ageMillis(router.monotonicMillis(), router.epochMillis());
+        assertTrue(ageMillis <= 2 * POLL_MILLIS, "the age is " + ageMillis);
+    }
+
+    private static void confirm(StorePoller poller, FakeRouterControl router, FakeControl control, long millis) {
+        for (int i = 0; i < millis / 200; i++) {
+            control.advance(200);
+            poller.compareWithRelay(poller.content().orElseThrow(), router.now().earlierBy(300));
+        }
+    }
+
     // Guards against upstreams that left while the store rejected this router, and that still get requests when the
     // router is bound by the directory again, 3 s after the store is back.
     @Test
