Show prompts that are refused after weights named at the end of an outage

The age of replaced weights counts from the last read before the gap. When the store fails for 8 s and weights are named as it returns, every router takes them for more than 8 s old, and with 12 s allowed no engine may be used before the first one has loaded: callers get 503.

--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -7,6 +7,8 @@
 import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.RequestedWeights;
+import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.fleet.query.StaleWeightsFilter;
 import io.agatelane.node.api.WeightsOrder;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
@@ -15,6 +17,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -273,6 +276,38 @@
         assertEquals(upstreamCount(), ENGINES - 1);
     }
 
+    // Guards against routers that refuse all prompts after an outage of the store, because they count weights that were
+    // named at its end from its beginning and no engine has loaded the newer ones yet.
+    @Test
+    public void someEngineIsAllowedAfterWeightsNamedAtTheEndOfAnOutage() {
+        fleet.setStoreDown(true);
+        control.advance(8_000);
+        fleet.setStoreDown(false);
+        fleet.requestVersion(2);
+        long refusedMillis = 0;
+        for (long millis = 0; millis < ALLOWED_MILLIS; millis += STEP_MILLIS) {
+            control.advance(STEP_MILLIS);
+            refusedMillis += allowed(routers.get(0), 12_000).isEmpty() ? STEP_MILLIS : 0;
+        }
+        assertEquals(refusedMillis, 0, "milliseconds without an allowed engine");
+    }
+
+    private static List<Candidate> allowed(Router router, long allowedMillis) {
+        FleetSnapshot snapshot = router.state().snapshot();
+        List<Candidate> candidates = router.state()
+                .candidates(
+                        snapshot,
+                        "s",
+                        Optional.of(FakeFleet.MODEL),
+                        Set.of(),
+                        router.control().monotonicMillis());
+        return StaleWeightsFilter.allowedCandidates(
+                candidates,
+                snapshot.requestedWeights(FakeFleet.MODEL).orElseThrow(),
+                router.control().now(),
+                allowedMillis);
+    }
+
     private static Set<Long> knownVersions(Router router, String model) {
         FleetSnapshot snapshot = router.state().snapshot();
         return snapshot.view().upstreams().stream()
