Show a holder that reaches no engine and keeps the roll-out

A holder that reaches the store but no engine renews its lease and pauses each silent engine in turn. No other router may give orders, so all engines keep the replaced weights and prompts are refused once these may not be used any more.

--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -4,22 +4,29 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.fleet.query.StaleWeightsFilter;
+import io.agatelane.node.api.EngineControl;
+import io.agatelane.node.api.EngineStatus;
+import io.agatelane.node.api.OrderResponse;
 import io.agatelane.node.api.WeightsOrder;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
 import io.agatelane.node.fakes.FakeRouterControl;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -38,6 +45,7 @@
     private FakeKeyValueStore store;
     private FakeFleet fleet;
     private List<Router> routers;
+    private Set<Integer> unreachableFrom;
 
     private record Router(
             FakeRouterControl control, RolloutLeadership leadership, WeightsRollout rollout, FleetState state) {}
@@ -48,6 +56,7 @@
         store = new FakeKeyValueStore(control);
         fleet = new FakeFleet(control, store, ENGINES);
         routers = new ArrayList<>();
+        unreachableFrom = new HashSet<>();
         for (int i = 0; i < ROUTERS; i++) {
             routers.add(router(i));
         }
@@ -292,6 +301,19 @@
         assertEquals(refusedMillis, 0, "milliseconds without an allowed engine");
     }
 
+    // Guards against a holder that reaches the store but no engine, and keeps the roll-out from those that could go on.
+    @Test
+    public void holderThatReachesNoEngineLeavesTheRollout() {
+        unreachableFrom.add(Integer.parseInt(holderName().substring("vm-".length())));
+        fleet.requestVersion(2);
+        control.advance(2 * ALLOWED_MILLIS);
+        assertEquals(fleet.oldestVersion(), 2);
+    }
+
+    private String holderName() {
+        return "vm-" + routers.indexOf(holder());
+    }
+
     private static List<Candidate> allowed(Router router, long allowedMillis) {
         FleetSnapshot snapshot = router.state().snapshot();
         List<Candidate> candidates = router.state()
@@ -308,6 +330,30 @@
                 allowedMillis);
     }
 
+    // The engines as one router reaches them.
+    private EngineControl enginesFrom(int number) {
+        return new EngineControl() {
+            @Override
+            public CompletableFuture<EngineStatus> status(FleetUpstream upstream) {
+                return unreachableFrom.contains(number) ? noResponse() : fleet.status(upstream);
+            }
+
+            @Override
+            public CompletableFuture<Long> cacheStoreIncarnation(String address) {
+                return fleet.cacheStoreIncarnation(address);
+            }
+
+            @Override
+            public CompletableFuture<OrderResponse> loadWeights(FleetUpstream upstream, WeightsOrder order) {
+                return unreachableFrom.contains(number) ? noResponse() : fleet.loadWeights(upstream, order);
+            }
+        };
+    }
+
+    private static <T> CompletableFuture<T> noResponse() {
+        return CompletableFuture.failedFuture(new AgatelaneException(FailureType.PLATFORM_UNAVAILABLE, "no response"));
+    }
+
     private static Set<Long> knownVersions(Router router, String model) {
         FleetSnapshot snapshot = router.state().snapshot();
         return snapshot.view().upstreams().stream()
@@ -348,7 +394,7 @@
                 poller,
                 leadership,
                 new WeightsRequestTimesWriter(store, routerControl, routerControl),
-                fleet,
+                enginesFrom(number),
                 routerControl,
                 routerControl,
                 random,
