Show weights that count from the start of a router when no record exists

A router that starts after weights were named while no router ran finds no time in the record, and uses the replaced weights for the whole allowed time from its own first read where no engine has newer ones (VERSION).

--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -301,6 +301,21 @@
         assertEquals(refusedMillis, 0, "milliseconds without an allowed engine");
     }
 
+    // Guards against a router that starts after weights were named while no router ran, and that uses the replaced ones
+    // for the whole allowed time from its own first read because no record states the time.
+    @Test
+    public void weightsNamedWhileNoRouterRanAreNotCountedFromTheStart() {
+        fleet.requestVersion(2);
+        control.advance(ALLOWED_MILLIS);
+        routers.forEach(router -> router.control().kill());
+        fleet.requestVersion(3);
+        control.advance(4_000);
+        Router restarted = router(ROUTERS);
+        unreachableFrom.add(ROUTERS);
+        control.advance(ALLOWED_MILLIS - 4_000);
+        assertEquals(allowed(restarted, ALLOWED_MILLIS), List.of());
+    }
+
     // Guards against a holder that reaches the store but no engine, and keeps the roll-out from those that could go on.
     @Test
     public void holderThatReachesNoEngineLeavesTheRollout() {
