--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -4,19 +4,29 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.failure.AgatelaneException;
+import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.RequestedWeights;
+import io.agatelane.core.fleet.query.Candidate;
+import io.agatelane.core.fleet.query.StaleWeightsFilter;
+import io.agatelane.node.api.EngineControl;
+import io.agatelane.node.api.EngineStatus;
+import io.agatelane.node.api.OrderResponse;
 import io.agatelane.node.api.WeightsOrder;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
 import io.agatelane.node.fakes.FakeRouterControl;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Collectors;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -35,6 +45,7 @@
     private FakeKeyValueStore store;
     private FakeFleet fleet;
     private List<Router> routers;
+    private Set<Integer> unreachableFrom;
 
     private record Router(
             FakeRouterControl control, RolloutLeadership leadership, WeightsRollout rollout, FleetState state) {}
@@ -45,6 +56,7 @@
         store = new FakeKeyValueStore(control);
         fleet = new FakeFleet(control, store, ENGINES);
         routers = new ArrayList<>();
+        unreachableFrom = new HashSet<>();
         for (int i = 0; i < ROUTERS; i++) {
             routers.add(router(i));
         }
@@ -273,6 +285,90 @@
         assertEquals(upstreamCount(), ENGINES - 1);
     }
 
+    // Guards against routers that refuse all prompts after an outage of the store, because they count weights that were
+    // named at its end from its beginning and no engine has loaded the newer ones yet.
+    @Test
+    public void someEngineIsAllowedAfterWeightsNamedAtTheEndOfAnOutage() {
+        fleet.setStoreDown(true);
+        control.advance(8_000);
+        fleet.setStoreDown(false);
+        fleet.requestVersion(2);
+        long refusedMillis = 0;
+        for (long millis = 0; millis < ALLOWED_MILLIS; millis += STEP_MILLIS) {
+            control.advance(STEP_MILLIS);
+            refusedMillis += allowed(routers.get(0), 12_000).isEmpty() ? STEP_MILLIS : 0;
+        }
+        assertEquals(refusedMillis, 0, "milliseconds without an allowed engine");
+    }
+
+    // Guards against a router that starts after weights were named while no router ran, and that uses the replaced ones
+    // for the whole allowed time from its own first read because no record states the time.
+    @Test
+    public void weightsNamedWhileNoRouterRanAreNotCountedFromTheStart() {
+        fleet.requestVersion(2);
+        control.advance(ALLOWED_MILLIS);
+        routers.forEach(router -> router.control().kill());
+        fleet.requestVersion(3);
+        control.advance(4_000);
+        Router restarted = router(ROUTERS);
+        unreachableFrom.add(ROUTERS);
+        control.advance(ALLOWED_MILLIS - 4_000);
+        assertEquals(allowed(restarted, ALLOWED_MILLIS), List.of());
+    }
+
+    // Guards against a holder that reaches the store but no engine, and keeps the roll-out from those that could go on.
+    @Test
+    public void holderThatReachesNoEngineLeavesTheRollout() {
+        unreachableFrom.add(Integer.parseInt(holderName().substring("vm-".length())));
+        fleet.requestVersion(2);
+        control.advance(2 * ALLOWED_MILLIS);
+        assertEquals(fleet.oldestVersion(), 2);
+    }
+
+    private String holderName() {
+        return "vm-" + routers.indexOf(holder());
+    }
+
+    private static List<Candidate> allowed(Router router, long allowedMillis) {
+        FleetSnapshot snapshot = router.state().snapshot();
+        List<Candidate> candidates = router.state()
+                .candidates(
+                        snapshot,
+                        "s",
+                        Optional.of(FakeFleet.MODEL),
+                        Set.of(),
+                        router.control().monotonicMillis());
+        return StaleWeightsFilter.allowedCandidates(
+                candidates,
+                snapshot.requestedWeights(FakeFleet.MODEL).orElseThrow(),
+                router.control().now(),
+                allowedMillis);
+    }
+
+    // The engines as one router reaches them.
+    private EngineControl enginesFrom(int number) {
+        return new EngineControl() {
+            @Override
+            public CompletableFuture<EngineStatus> status(FleetUpstream upstream) {
+                return unreachableFrom.contains(number) ? noResponse() : fleet.status(upstream);
+            }
+
+            @Override
+            public CompletableFuture<Long> cacheStoreIncarnation(String address) {
+                return fleet.cacheStoreIncarnation(address);
+            }
+
+            @Override
+            public CompletableFuture<OrderResponse> loadWeights(FleetUpstream upstream, WeightsOrder order) {
+                return unreachableFrom.contains(number) ? noResponse() : fleet.loadWeights(upstream, order);
+            }
+        };
+    }
+
+    private static <T> CompletableFuture<T> noResponse() {
+        return CompletableFuture.failedFuture(new AgatelaneException(FailureType.PLATFORM_UNAVAILABLE, "no response"));
+    }
+
     private static Set<Long> knownVersions(Router router, String model) {
         FleetSnapshot snapshot = router.state().snapshot();
         return snapshot.view().upstreams().stream()
@@ -313,7 +409,7 @@
                 poller,
                 leadership,
                 new WeightsRequestTimesWriter(store, routerControl, routerControl),
-                fleet,
+                enginesFrom(number),
                 routerControl,
                 routerControl,
                 random,
