Count the queue of an engine toward the age of its replaced weights

A request could begin on replaced weights after the allowed time (VERSION): only the margin of 2.5 s bounded its wait in the queue of an engine, and a retry is queued at a full engine.

An engine with replaced weights is used only if the work ahead, at its present speed, ends before the margin. EngineCandidatesTest.retriesAreNotQueuedOn- ReplacedWeightsBeyondTheAllowedTime failed before.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/query/StaleWeightsFilter.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/query/StaleWeightsFilter.java
@@ -12,8 +12,9 @@
  * <p>During a roll-out, engines that were unreachable may return, or restart, with the weights that they had before.
  */
 public final class StaleWeightsFilter {
-    // Safety margin within the allowed time, for the queue of a busy engine.
+    // Safety margin within the allowed time, for a queue that takes longer than expected.
     private static final long MARGIN_MILLIS = 2_500;
+    private static final double PERCENT = 100;
 
     private StaleWeightsFilter() {}
 
@@ -28,22 +29,31 @@
         long newestOfAll =
                 candidates.stream().mapToLong(Candidate::weightsVersion).max().orElse(0);
         return candidates.stream()
-                .filter(candidate -> isAllowed(
-                        requested.replacementOf(candidate.weightsVersion()),
-                        candidate.weightsVersion() == newestOfAll,
-                        now,
-                        allowedMillis))
+                .filter(candidate ->
+                        isAllowed(candidate, requested, candidate.weightsVersion() == newestOfAll, now, allowedMillis))
                 .toList();
     }
 
     private static boolean isAllowed(
-            Optional<RequestTime> replacement, boolean hasNewestOfAll, ClockReading now, long allowedMillis) {
+            Candidate candidate,
+            RequestedWeights requested,
+            boolean hasNewestOfAll,
+            ClockReading now,
+            long allowedMillis) {
+        Optional<RequestTime> replacement = requested.replacementOf(candidate.weightsVersion());
         if (replacement.isEmpty()) {
             return true;
         }
-        boolean inTime = replacement.get().earliest().ageMillis(now.monotonicMillis(), now.epochMillis())
-                < allowedMillis - MARGIN_MILLIS;
+        long ageMillis = replacement.get().earliest().ageMillis(now.monotonicMillis(), now.epochMillis());
+        boolean inTime = ageMillis + expectedQueueMillis(candidate) < allowedMillis - MARGIN_MILLIS;
         // A restarted router may not know how long ago the newer version was requested.
         return inTime && (replacement.get().isKnown() || hasNewestOfAll);
     }
+
+    // A request begins when the work ahead of it is done, whatever its priority when it came.
+    private static double expectedQueueMillis(Candidate candidate) {
+        return candidate.estimate().backlog().totalMillis()
+                * candidate.estimate().durationPercent()
+                / PERCENT;
+    }
 }
