Let relays confirm the configuration after the wall clock is set back

After a step back of the wall clock a router in a large fleet refused each request with an API key for as long as the step: a confirmation counted only if it was later on both clocks. It counts now when its age is the smaller one.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/ClockReading.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/ClockReading.java
@@ -11,11 +11,6 @@
  * @param epochMillis wall-clock time of the same moment
  */
 public record ClockReading(long monotonicMillis, long epochMillis) {
-    /** Whether another reading is later on both clocks. */
-    public boolean isEarlierThan(ClockReading other) {
-        return monotonicMillis < other.monotonicMillis && epochMillis < other.epochMillis;
-    }
-
     /** Returns this reading moved back by an age on both clocks. */
     public ClockReading earlierBy(long ageMillis) {
         return new ClockReading(monotonicMillis - ageMillis, epochMillis - ageMillis);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -155,7 +155,8 @@
             relayVerifiedAt = Optional.of(verifiedAt);
             state.snapshot()
                     .configVerifiedAt()
-                    .filter(known -> known.isEarlierThan(verifiedAt))
+                    .filter(known -> known.ageMillis(nowMillis, timers.epochMillis())
+                            > verifiedAt.ageMillis(nowMillis, timers.epochMillis()))
                     .ifPresent(known -> state.confirmCurrent(verifiedAt));
         }
         boolean operatorChanged = content.operatorEntries().mayBeOlderThan(relayed.operatorEntries());
