Tell the revisions and leases of two eras of the store apart

What callers could see after the store went back to an older copy: a revoked key, a route or an address of before stays in use for as long as the entry keeps its revision, because the store has given that revision out again and FleetReader decodes each revision once. A router takes the content that its relay has read after the copy for older than its own and reads nothing. A write with an expected revision succeeds over the entry of another writer, and a renewal keeps the lease of another router alive, because its id was given out again.

Cause: revisions and ids of leases were compared as plain numbers; nothing read the header Store-Era.

The adapter now qualifies each number with the era of the response: the era in the bits from 42 on, the store's number below, so numbers of two eras differ, those of a later era are larger, and without the header nothing changes. A number of an earlier era is not sent any more; a write that met a new era is reported with an unknown outcome. A response of an earlier era is dropped. A header that is no number counts as absent and is logged. The identity of the content that routers compare carries the era in a field of its own; its revisions and digests are those of before, so a process of an earlier build compares them as it did, and a digest without the field verifies nothing for a router that knows an era.

--- a/agatelane-node/src/main/java/io/agatelane/node/api/ConditionalStore.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/ConditionalStore.java
@@ -10,8 +10,18 @@
  * <p>Futures fail with an {@code AgatelaneException}: {@code SWAP_LOST} when the expected revision is not the current
  * one, {@code PLATFORM_UNAVAILABLE} when nothing was done, {@code WRITE_OUTCOME_UNKNOWN} when a write may have taken
  * effect.
+ *
+ * <p>Revisions and ids of leases are qualified with the era of the store (see {@link StoreEra}). A revision or lease of an
+ * earlier era identifies nothing any more: a write that expects it fails with {@code SWAP_LOST}, such a lease has ended.
+ * When the store has gone back while a write was under way, the write fails with {@code WRITE_OUTCOME_UNKNOWN}, because
+ * it may have met a revision or a lease that meanwhile belongs to another writer.
  */
 public interface ConditionalStore {
+    /** The newest era of the store that a response has shown; 0 for a store without eras. */
+    default long era() {
+        return 0;
+    }
+
     /** Reads one key. */
     CompletableFuture<Optional<KeyValue>> get(String key);
 
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -238,6 +238,7 @@
         LoadDigest.Builder response = LoadDigest.newBuilder().setAnsweredSequence(member.sequence());
         poller.content()
                 .ifPresent(content -> response.setStore(StoreContentEntry.newBuilder()
+                        .setEra(content.era())
                         .setOperatorRevision(content.operatorEntries().newestRevision())
                         .setOperatorDigest(content.operatorEntries().digest())
                         .setUpstreamsRevision(content.upstreamEntries().newestRevision())
@@ -381,6 +382,7 @@
 
     private static StoreContentId content(StoreContentEntry store) {
         return new StoreContentId(
+                store.getEra(),
                 new StoreContentId.EntrySetId(store.getOperatorRevision(), store.getOperatorDigest()),
                 new StoreContentId.EntrySetId(store.getUpstreamsRevision(), store.getUpstreamsDigest()));
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -122,6 +122,11 @@
         return rollout;
     }
 
+    /** Era of the store in which it was last read. */
+    long era() {
+        return content.era();
+    }
+
     /** The store entries that routers have written, as last read. */
     public List<KeyValue> routerEntries() {
         return routerEntries;
@@ -137,15 +142,15 @@
     public void compareWithRelay(StoreContentId relayed, ClockReading verifiedAt) {
         long nowMillis = timers.monotonicMillis();
         relayedContent = relayed;
-        if (relayed.operatorEntries().equals(content.operatorEntries())) {
+        if (relayed.hasSameOperatorEntries(content)) {
             relayVerifiedAt = Optional.of(verifiedAt);
             state.snapshot()
                     .configVerifiedAt()
                     .filter(known -> known.isEarlierThan(verifiedAt))
                     .ifPresent(known -> state.confirmCurrent(verifiedAt));
         }
-        boolean operatorChanged = content.operatorEntries().mayBeOlderThan(relayed.operatorEntries());
-        boolean upstreamsChanged = content.upstreamEntries().mayBeOlderThan(relayed.upstreamEntries());
+        boolean operatorChanged = content.operatorEntriesMayBeOlderThan(relayed);
+        boolean upstreamsChanged = content.upstreamEntriesMayBeOlderThan(relayed);
         long gapMillis =
                 Math.max(operatorChanged ? MIN_READ_GAP_MILLIS : DIRECTORY_READ_GAP_MILLIS, failurePauseMillis());
         if (!reading && (operatorChanged || upstreamsChanged) && nowMillis - readStartedMillis >= gapMillis) {
@@ -216,7 +221,9 @@
         });
     }
 
-    // The roll-out record is no part of the compared content, and its revision must not go back.
+    // The roll-out record is no part of the compared content, and its revision must not go back. Revisions of a later
+    // era
+    // of the store are larger, so a record of an earlier era does not stay.
     private FleetReadResult withNewestRollout(FleetReadResult read) {
         boolean hasOlder = read.routerEntries().stream().anyMatch(this::isOlderRollout);
         if (!hasOlder) {
@@ -273,6 +280,11 @@
             storeRegainedMillis = timers.monotonicMillis();
             LOG.event("dependency_regained").with("dependency", "store").info();
         }
+        if (read.content().era() < content.era()) {
+            // A delayed result: what it holds may be gone from the store.
+            metrics.counter("store_outdated_reads_total").inc();
+            return;
+        }
         routerEntries = read.routerEntries();
         content = read.content();
         FleetView next = merge(read.view());
--- a/agatelane-node/src/test/java/io/agatelane/node/fakes/FakeKeyValueStore.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fakes/FakeKeyValueStore.java
@@ -4,12 +4,14 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.node.api.KeyValue;
 import io.agatelane.node.api.KeyValueStore;
+import io.agatelane.node.api.StoreEra;
 import io.agatelane.node.api.Subscription;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -17,7 +19,8 @@
 
 /**
  * In-memory key-value store of the platform. Each call takes effect after half the latency and completes after the
- * whole. Tests can simulate an outage, lose responses to writes that took effect, and restore an older state.
+ * whole. Tests can simulate an outage, lose responses to writes that took effect, restore an older state, and let the
+ * store go back to a copy in a new era, which gives revisions and leases out again.
  */
 public final class FakeKeyValueStore implements KeyValueStore {
     private final FakeControl control;
@@ -26,6 +29,7 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private final Map<String, List<Consumer<KeyValue>>> watchers = new HashMap<>();
     private long revision;
+    private long era;
     private long latencyMillis;
     private boolean outage;
     private int responsesToLose;
@@ -70,12 +74,50 @@
         values.putAll(backup);
     }
 
+    /** A copy of the whole store, for {@link #goBackTo}. */
+    public record Copy(Map<String, KeyValue> values, Map<String, Long> leaseOfKey, Set<Long> leases, long revision) {}
+
+    /** Copies the store. */
+    public Copy copy() {
+        return new Copy(new TreeMap<>(values), Map.copyOf(leaseOfKey), Set.copyOf(leases.keySet()), revision);
+    }
+
+    /** Goes back to an older copy and starts a new era; leases that still run go on, later ones are gone. */
+    public void goBackTo(Copy copy) {
+        era++;
+        revision = copy.revision();
+        restore(copy.values());
+        leaseOfKey.clear();
+        leaseOfKey.putAll(copy.leaseOfKey());
+        leases.keySet().retainAll(copy.leases());
+    }
+
+    /** Lets a key stay as if its lease were renewed for ever. */
+    public void detachFromLease(String key) {
+        leaseOfKey.remove(key);
+    }
+
+    @Override
+    public long era() {
+        return era;
+    }
+
+    private KeyValue qualified(KeyValue value) {
+        return new KeyValue(value.key(), value.value(), StoreEra.qualify(era, value.revision()));
+    }
+
+    private void expectCurrent(long qualified) {
+        if (!StoreEra.isValidIn(qualified, era)) {
+            throw new AgatelaneException(FailureType.SWAP_LOST, "a revision or lease of an earlier era");
+        }
+    }
+
     @Override
     public CompletableFuture<Optional<KeyValue>> get(String key) {
         readCount++;
         return call(false, () -> {
             expireLeases();
-            return Optional.ofNullable(values.get(key));
+            return Optional.ofNullable(values.get(key)).map(this::qualified);
         });
     }
 
@@ -86,6 +128,7 @@
             expireLeases();
             return values.tailMap(prefix, true).values().stream()
                     .takeWhile(value -> value.key().startsWith(prefix))
+                    .map(this::qualified)
                     .toList();
         });
     }
@@ -100,15 +143,16 @@
         writeCount++;
         return call(true, () -> {
             expectRevision(key, expectedRevision);
+            expectCurrent(leaseId);
             KeyValue written = new KeyValue(key, value.clone(), ++revision);
             values.put(key, written);
             leaseOfKey.remove(key);
             if (leaseId != 0) {
-                leaseOfKey.put(key, leaseId);
+                leaseOfKey.put(key, StoreEra.number(leaseId));
             }
             List.copyOf(watchers.getOrDefault(key, List.of()))
-                    .forEach(listener -> control.execute(() -> listener.accept(written)));
-            return written.revision();
+                    .forEach(listener -> control.execute(() -> listener.accept(qualified(written))));
+            return StoreEra.qualify(era, written.revision());
         });
     }
 
@@ -130,7 +174,7 @@
         return call(true, () -> {
             long id = ++revision;
             leases.put(id, new Lease(ttlMillis, control.monotonicMillis() + ttlMillis));
-            return id;
+            return StoreEra.qualify(era, id);
         });
     }
 
@@ -139,11 +183,12 @@
         writeCount++;
         return call(true, () -> {
             expireLeases();
-            Lease lease = leases.get(leaseId);
-            if (lease == null) {
+            Lease lease = leases.get(StoreEra.number(leaseId));
+            if (lease == null || !StoreEra.isValidIn(leaseId, era)) {
                 return 0L;
             }
-            leases.put(leaseId, new Lease(lease.ttlMillis, control.monotonicMillis() + lease.ttlMillis));
+            leases.put(
+                    StoreEra.number(leaseId), new Lease(lease.ttlMillis, control.monotonicMillis() + lease.ttlMillis));
             return lease.ttlMillis;
         });
     }
@@ -152,7 +197,9 @@
     public CompletableFuture<Void> revokeLease(long leaseId) {
         writeCount++;
         return call(true, () -> {
-            endLease(leaseId);
+            if (StoreEra.isValidIn(leaseId, era)) {
+                endLease(StoreEra.number(leaseId));
+            }
             return null;
         });
     }
@@ -204,7 +251,7 @@
     private void expectRevision(String key, long expectedRevision) {
         expireLeases();
         KeyValue current = values.get(key);
-        long actual = current == null ? 0 : current.revision();
+        long actual = current == null ? 0 : StoreEra.qualify(era, current.revision());
         if (actual != expectedRevision) {
             throw new AgatelaneException(
                             FailureType.SWAP_LOST, "expected revision " + expectedRevision + ", found " + actual)
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -34,8 +35,10 @@
     private final FakeKeyValueStore store;
     private final Map<String, Engine> engines = new HashMap<>();
     private final List<WeightsOrder> accepted = new ArrayList<>();
+    private final List<Long> acceptedAtMillis = new ArrayList<>();
     private final Map<String, Long> requestedVersions = new HashMap<>(Map.of(MODEL, 1L, OTHER_MODEL, 1L));
     private long lostResponseDelayMillis = -1;
+    private OptionalLong statedVersion = OptionalLong.empty();
     private boolean storeDown;
     private int maxConcurrentLoads;
     private int newestReads;
@@ -73,6 +76,11 @@
         lostResponseDelayMillis = delayMillis;
     }
 
+    /** From now on the entries of all engines state this version, whatever they have. */
+    void stateVersions(long version) {
+        statedVersion = OptionalLong.of(version);
+    }
+
     void setStoreDown(boolean down) {
         storeDown = down;
         store.setOutage(down);
@@ -120,6 +128,11 @@
         return accepted;
     }
 
+    /** When the orders of {@link #accepted} were accepted. */
+    List<Long> acceptedAtMillis() {
+        return acceptedAtMillis;
+    }
+
     int maxConcurrentLoads() {
         return maxConcurrentLoads;
     }
@@ -165,20 +178,15 @@
 
     private StoreContentId content(List<FleetUpstream> upstreams) {
         return new StoreContentId(
+                store.era(),
                 new StoreContentId.EntrySetId(1, requestedVersions.hashCode()),
                 new StoreContentId.EntrySetId(1, upstreams.hashCode()));
     }
 
-    private static FleetUpstream upstream(String id, Engine engine) {
-        return new FleetUpstream(
-                id,
-                engine.incarnation,
-                "s",
-                "10.0.0.1:80" + id.substring(1),
-                "z",
-                8,
-                false,
-                Map.copyOf(engine.versions));
+    private FleetUpstream upstream(String id, Engine engine) {
+        Map<String, Long> stated = new HashMap<>(engine.versions);
+        statedVersion.ifPresent(version -> stated.put(MODEL, version));
+        return new FleetUpstream(id, engine.incarnation, "s", "10.0.0.1:80" + id.substring(1), "z", 8, false, stated);
     }
 
     @Override
@@ -221,6 +229,7 @@
             return OrderResponse.CONFLICT;
         }
         accepted.add(order);
+        acceptedAtMillis.add(control.monotonicMillis());
         engine.orders++;
         engine.busy = true;
         maxConcurrentLoads = Math.max(maxConcurrentLoads, (int)
