Keep what a router knows when the store goes back to an older copy

What callers could see: a router lost all upstreams whose entries the copy lacks and refused requests until they were written again; it used upstreams again that it had seen leave, because the copy still lists them; requests expected the weights of before the last load. A read of the copy also counted as proof that the configuration is the newest one, so a key that was revoked in the lost seconds could be used for longer than allowed.

Cause: each read was taken for the newest state of everything but the versions of the configuration and the weights.

With a new era, which is logged and counted once (store_era_changed, store_era_changes_total), upstreams that the new era has not listed yet stay for 5 s, unless another one has their address; upstreams that were draining, or had vanished within the last 20 s, count as draining while only the copy lists them; the weights that engines are known to have are remembered. For 3 s, until a newer configuration is read, and for as long as the store has an older one than the router, reads and relays prove nothing: requests with an API key are then served until the last proof is too old, as in an outage.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetUpstream.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/FleetUpstream.java
@@ -25,6 +25,11 @@
         weightsVersions = Map.copyOf(weightsVersions);
     }
 
+    /** Returns the same upstream, taking no new requests. */
+    public FleetUpstream asDraining() {
+        return new FleetUpstream(id, incarnation, service, address, zone, slots, true, weightsVersions);
+    }
+
     /** Identifies one incarnation of the upstream, so that a restarted upstream has another key. */
     public String key() {
         return id + '@' + incarnation;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -89,9 +89,12 @@
     /**
      * Applies the result of a read of the store.
      *
+     * @param verifiedAt when the read was sent
+     * @param provenAt when the configuration of the view is known to have been current; earlier than the read where
+     *     the store may have lost a newer one
      * @param rollout the record of the holder of the roll-out lease, as read
      */
-    public void update(FleetView view, ClockReading verifiedAt, RolloutRecord rollout) {
+    public void update(FleetView view, ClockReading verifiedAt, ClockReading provenAt, RolloutRecord rollout) {
         boolean hadRead = snapshot.configVerifiedAt().isPresent();
         RequestedWeights.RequestTime firstRead = new RequestedWeights.RequestTime(verifiedAt, hadRead);
         view.newestWeightsVersions()
@@ -100,7 +103,7 @@
                         RequestedWeights.of(version, firstRead),
                         (known, read) -> known.with(version, firstRead)));
         requestedWeights.replaceAll((model, known) -> known.withReported(rollout.requestTimes(model, verifiedAt)));
-        snapshot = new FleetSnapshot(view, Optional.of(verifiedAt), rollout.loadedWeights(), requestedWeights);
+        snapshot = new FleetSnapshot(view, Optional.of(provenAt), rollout.loadedWeights(), requestedWeights);
         Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
         loads.keySet().retainAll(present);
         observedWeights.keySet().retainAll(present);
@@ -244,6 +247,14 @@
                 .merge(model, version, Math::max);
     }
 
+    /** Keeps the weights versions that upstreams are known to have, whatever older entries say from now on. */
+    void rememberWeightsVersions() {
+        FleetSnapshot known = snapshot;
+        known.view().upstreams().forEach(upstream -> upstream.weightsVersions()
+                .keySet()
+                .forEach(model -> recordWeightsVersion(upstream, model, weightsVersion(known, upstream, model))));
+    }
+
     /** Records that another upstream responds at this one's address. */
     public void recordReplacement(FleetUpstream upstream) {
         replaced.add(upstream.key());
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.fleet.ClockReading;
+import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.node.api.FleetReadResult;
@@ -41,6 +42,8 @@
     private static final int MAX_SHIFT = 10;
     // Upstreams whose entries expired during an outage of the store are listed again about two seconds after it.
     private static final long OUTAGE_GRACE_MILLIS = 2_000;
+    // Time within which the operator writes its newest configuration again after the store went back to an older copy.
+    private static final long CONFIG_REWRITE_MILLIS = 3_000;
     // Interval between own reads while a relay confirms the content; these reads refresh the list of routers.
     private static final long RELAYED_POLL_MILLIS = 4_000;
     // A relay reads every 700 ms and forwards every 200 ms. A relayed verification time that is older than both plus
@@ -63,6 +66,7 @@
     private final long pollMillis;
     private final MetricRegistry metrics;
     private final List<Runnable> listeners = new ArrayList<>();
+    private final KnownUpstreams knownUpstreams = new KnownUpstreams();
     private FleetView view = FleetView.EMPTY;
     private List<KeyValue> routerEntries = List.of();
     private Optional<KeyValue> rollout = Optional.empty();
@@ -75,6 +79,8 @@
     private boolean storeReachable = true;
     private int failedReads;
     private long storeRegainedMillis;
+    private boolean configProven = true;
+    private long configUnprovenUntilMillis;
     private boolean closed;
 
     /** Creates a poller; {@link #start} begins to read. */
@@ -142,7 +148,7 @@
     public void compareWithRelay(StoreContentId relayed, ClockReading verifiedAt) {
         long nowMillis = timers.monotonicMillis();
         relayedContent = relayed;
-        if (relayed.hasSameOperatorEntries(content)) {
+        if (relayed.hasSameOperatorEntries(content) && configProven) {
             relayVerifiedAt = Optional.of(verifiedAt);
             state.snapshot()
                     .configVerifiedAt()
@@ -285,17 +291,49 @@
             metrics.counter("store_outdated_reads_total").inc();
             return;
         }
+        if (read.content().era() > content.era()
+                && state.snapshot().configVerifiedAt().isPresent()) {
+            startEra(read.content().era());
+        }
         routerEntries = read.routerEntries();
         content = read.content();
+        ClockReading provenAt = provenAt(read.view(), verifiedAt);
         FleetView next = merge(read.view());
         RolloutRecord record = rolloutRecord(read.routerEntries());
         next = new FleetView(next.config(), next.upstreams(), next.newestWeightsVersions(), record.reserved());
         logChanges(view, next);
         view = next;
-        state.update(next, verifiedAt, record);
+        state.update(next, verifiedAt, provenAt, record);
         listeners.forEach(Runnable::run);
     }
 
+    private void startEra(long era) {
+        long nowMillis = timers.monotonicMillis();
+        metrics.counter("store_era_changes_total").inc();
+        LOG.event("store_era_changed")
+                .with("era", era)
+                .with("before", content.era())
+                .with("config", view.config().map(FleetConfig::version).orElse(0L))
+                .with("upstreams", view.upstreams().size())
+                .warning();
+        state.rememberWeightsVersions();
+        knownUpstreams.startEra(view.upstreams(), nowMillis);
+        configUnprovenUntilMillis = nowMillis + CONFIG_REWRITE_MILLIS;
+    }
+
+    // After the store went back, a read does not prove that the configuration is the newest one: one that was
+    // acknowledged
+    // and lost may have revoked a key. It does once the operator has written a newer one, or has had time to.
+    private ClockReading provenAt(FleetView read, ClockReading verifiedAt) {
+        long known = view.config().map(FleetConfig::version).orElse(0L);
+        long version = read.config().map(FleetConfig::version).orElse(known);
+        if (version > known) {
+            configUnprovenUntilMillis = 0;
+        }
+        configProven = version >= known && timers.monotonicMillis() >= configUnprovenUntilMillis;
+        return configProven ? verifiedAt : state.snapshot().configVerifiedAt().orElse(verifiedAt);
+    }
+
     private FleetView merge(FleetView read) {
         boolean regressed = view.config().isPresent()
                 && read.config().isPresent()
@@ -311,23 +349,16 @@
         read.newestWeightsVersions().forEach((model, version) -> weights.merge(model, version, Math::max));
         return new FleetView(
                 regressed || read.config().isEmpty() ? view.config() : read.config(),
-                withMissingAfterOutage(read.upstreams()),
+                withMissing(read.upstreams()),
                 weights,
                 Set.of());
     }
 
     // Shortly after an outage of the store, entries of upstreams that are alive may still be missing.
-    private List<FleetUpstream> withMissingAfterOutage(List<FleetUpstream> read) {
-        if (timers.monotonicMillis() - storeRegainedMillis >= OUTAGE_GRACE_MILLIS) {
-            return read;
-        }
-        Set<String> ids = read.stream().map(FleetUpstream::id).collect(Collectors.toSet());
-        Set<String> addresses = read.stream().map(FleetUpstream::address).collect(Collectors.toSet());
-        List<FleetUpstream> all = new ArrayList<>(read);
-        view.upstreams().stream()
-                .filter(known -> !known.draining() && !ids.contains(known.id()) && !addresses.contains(known.address()))
-                .forEach(all::add);
-        return all;
+    private List<FleetUpstream> withMissing(List<FleetUpstream> read) {
+        long nowMillis = timers.monotonicMillis();
+        boolean shortlyAfterOutage = nowMillis - storeRegainedMillis < OUTAGE_GRACE_MILLIS;
+        return knownUpstreams.merge(read, shortlyAfterOutage ? view.upstreams() : List.of(), nowMillis);
     }
 
     private RolloutRecord rolloutRecord(List<KeyValue> items) {
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
@@ -211,6 +211,20 @@
                 assertEquals(router.state.snapshot().view().upstreams().size(), 3, router.entry.vm()));
     }
 
+    // Guards against routers that take the content of the era before for that of their relay, because the store has
+    // given
+    // the same revisions out again.
+    @Test
+    public void newEraOfTheStoreReachesAllWithinTheBound() {
+        GossipCluster cluster = new GossipCluster(40);
+        cluster.store.goBackTo(cluster.store.copy());
+        cluster.control.advance(1_100);
+        cluster.routers.forEach(router -> assertEquals(router.poller.era(), 1, router.entry.vm()));
+        cluster.control.advance(6_000);
+        cluster.routers.forEach(router ->
+                assertTrue(router.configAgeMillis() <= 2_000, router.entry.vm() + " " + router.configAgeMillis()));
+    }
+
     // Guards against members whose configuration goes stale with that of a relay which no longer reaches the store.
     @Test
     public void relayCutFromTheStoreVerifiesNothing() {
