End the term of a roll-out's holder with the era of the store

What could be seen: after the store went back, the revision that serves as fencing token was lower than what engines had seen, so they refused every order with 412 until the counter had grown past it, or two holders had the same token. The key of the leadership was free at once while the holder still gave orders, so another router took it over within the time that must pass between two holders. A record written over with a lease that belongs to another router there stayed for as long as that router renewed it, and the roll-out had no holder.

Cause: the revision alone was the token, and a holder trusted its lease whatever era it was of.

The token is the revision qualified with the era, which is larger in each later era and unchanged without eras. A holder steps down as soon as any response shows a new era. Routers that were not the holder wait for the lease time and a renewal before they seek a term there, also when they start; the former holder may go on at once with a new term. It first removes its own record if the store has it again.

Evidence: with a fake store whose era does not change rolloutGoesOnWhenTheStoreGoesBack, holderThatMissesTheNewEraIsWaitedFor and loadedWeightsAreRememberedWhenTheStoreGoesBack fail; without the removal recordOnTheLeaseOfAnotherIsRemoved fails.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutLeadership.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutLeadership.java
@@ -5,6 +5,7 @@
 import io.agatelane.core.fleet.ClockReading;
 import io.agatelane.node.api.ConditionalStore;
 import io.agatelane.node.api.KeyValue;
+import io.agatelane.node.api.StoreEra;
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.node.util.Futures;
@@ -18,7 +19,12 @@
  * <p>The revision of the write that acquired the key is the fencing token of all orders of that term. The lease lives
  * longer than the time that has to pass between the orders of two holders, and a holder whose last renewal is older
  * than that time gives no orders, so the terms of two holders do not overlap even where upstreams do not check the
- * token.
+ * token. The revision is qualified with the era of the store, so that the tokens of a later era are larger although the
+ * store gives its revisions out again.
+ *
+ * <p>When the store goes back to an older copy, the lease of a term may be gone and its key free while the holder still
+ * gives orders, so the term ends there. Another router begins a term only after the time for which an unnoticed lease
+ * could have lasted.
  */
 public final class RolloutLeadership {
     private static final EventLog LOG = EventLog.of(RolloutLeadership.class);
@@ -32,6 +38,9 @@
     private final boolean upstreamsCheckFencing;
     private Optional<Term> term = Optional.empty();
     private boolean requestInFlight;
+    private long era;
+    private long acquireNotBeforeMillis;
+    private boolean mayHaveLeftover;
 
     /** Creates a leadership that is not held. */
     public RolloutLeadership(
@@ -67,10 +76,28 @@
 
     /** Whether this router may give orders now. */
     public boolean isHeld() {
+        noticeEra();
+        return isLeaseCertain();
+    }
+
+    private boolean isLeaseCertain() {
         return term.isPresent()
                 && term.get().renewedAt.ageMillis(timers.monotonicMillis(), timers.epochMillis()) < leaseMillis;
     }
 
+    private void noticeEra() {
+        long newest = store.era();
+        if (newest <= era) {
+            return;
+        }
+        // Up to now this router was the only holder, so it need not wait for the end of another one's term.
+        boolean wasHolder = isLeaseCertain();
+        acquireNotBeforeMillis = timers.monotonicMillis() + (wasHolder ? 0 : leaseMillis + RENEW_MILLIS);
+        mayHaveLeftover |= term.isPresent() || requestInFlight;
+        era = newest;
+        stepDown("store_went_back");
+    }
+
     /** Fencing token of the orders of this term; 0 while this router is not the holder. */
     public long fencingToken() {
         return term.map(held -> held.fencingToken).orElse(0L);
@@ -83,7 +110,8 @@
 
     /** Tries to acquire the leadership, which succeeds only when no router holds it. */
     public void tryAcquire() {
-        if (requestInFlight || term.isPresent()) {
+        noticeEra();
+        if (requestInFlight || term.isPresent() || timers.monotonicMillis() < acquireNotBeforeMillis) {
             return;
         }
         requestInFlight = true;
@@ -104,14 +132,16 @@
         RolloutRecord record = RolloutRecord.NONE.withHolder(vmName);
         Futures.whenDone(
                 store.compareAndSet(RolloutRecord.KEY, 0, record.encode(), leaseId), control, (revision, failure) -> {
+                    noticeEra();
                     requestInFlight = false;
-                    if (failure != null) {
+                    if (failure != null || StoreEra.of(revision) < era) {
                         LOG.event("rollout_duty_not_taken")
-                                .with("reason", failure.getMessage())
+                                .with("reason", failure == null ? "store_went_back" : failure.getMessage())
                                 .info();
                         revokeLease(leaseId);
                         return;
                     }
+                    mayHaveLeftover = false;
                     term = Optional.of(new Term(leaseId, revision, requestedAt, record));
                     LOG.event("rollout_duty_taken")
                             .with("fencing_token", revision)
@@ -144,6 +174,10 @@
             if (term.isEmpty() || term.get() != held) {
                 return;
             }
+            noticeEra();
+            if (term.isEmpty()) {
+                return;
+            }
             if (failure == null && leftMillis == 0) {
                 stepDown("lease_ended");
                 return;
@@ -169,6 +203,7 @@
                 store.compareAndSet(RolloutRecord.KEY, held.revision, record.encode(), held.leaseId),
                 control,
                 (revision, failure) -> {
+                    noticeEra();
                     requestInFlight = false;
                     if (failure == null) {
                         held.revision = revision;
@@ -184,6 +219,7 @@
     private void readBack(Term held, AgatelaneException cause) {
         requestInFlight = true;
         Futures.whenDone(store.get(RolloutRecord.KEY), control, (item, failure) -> {
+            noticeEra();
             requestInFlight = false;
             if (failure != null || term.isEmpty() || term.get() != held) {
                 return;
@@ -197,6 +233,27 @@
         });
     }
 
+    /**
+     * Deletes the record of this router's last term from the store, if the store has it again after it went back. Its
+     * lease may belong to another router there, which would keep the key for ever.
+     */
+    void removeLeftover(KeyValue item) {
+        noticeEra();
+        boolean isLeftover =
+                mayHaveLeftover && term.isEmpty() && StoreEra.isValidIn(item.revision(), era) && isOwn(item);
+        if (requestInFlight || !isLeftover) {
+            return;
+        }
+        requestInFlight = true;
+        Futures.whenDone(store.compareAndDelete(RolloutRecord.KEY, item.revision()), control, (done, failure) -> {
+            requestInFlight = false;
+            LOG.event("rollout_record_removed")
+                    .with("revision", StoreEra.number(item.revision()))
+                    .with("outcome", failure == null ? "done" : failure.getMessage())
+                    .info();
+        });
+    }
+
     private boolean isOwn(KeyValue item) {
         return decode(item).holder().equals(vmName);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRollout.java
@@ -150,6 +150,7 @@
 
     // Routers that see no holder wait for random times, so that usually only one of them asks the store.
     private void seekLeadership() {
+        poller.rollout().ifPresent(leadership::removeLeftover);
         // With an outdated read, many routers would ask for a leadership that was acquired long ago.
         boolean free = poller.rollout().isEmpty()
                 && poller.hasReadRecently()
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -33,6 +33,7 @@
 
     private FakeControl control;
     private FakeKeyValueStore store;
+    private FakeKeyValueStore.Copy empty;
     private FakeFleet fleet;
     private List<Router> routers;
 
@@ -43,6 +44,7 @@
     public void start() {
         control = new FakeControl();
         store = new FakeKeyValueStore(control);
+        empty = store.copy();
         fleet = new FakeFleet(control, store, ENGINES);
         routers = new ArrayList<>();
         for (int i = 0; i < ROUTERS; i++) {
@@ -251,6 +253,80 @@
         assertEquals(upstreamCount(), ENGINES - 1);
     }
 
+    // Guards against engines that refuse every order because the store went back and gives out lower revisions, and
+    // against a router that takes the leadership over while the holder has not noticed that its lease is gone.
+    @Test
+    public void rolloutGoesOnWhenTheStoreGoesBack() {
+        fleet.requestVersion(2);
+        control.advance(2_500);
+        long token = fleet.accepted().get(0).fencingToken();
+        store.goBackTo(empty);
+        control.advance(ALLOWED_MILLIS);
+        assertEquals(fleet.oldestVersion(), 2);
+        assertEquals(fleet.accepted().size(), ENGINES);
+        assertTrue(fleet.accepted().get(ENGINES - 1).fencingToken() > token);
+        assertTermsAreSound();
+    }
+
+    // Guards against a new holder that begins while one that is cut off still orders with a lease that the store lost.
+    @Test
+    public void holderThatMissesTheNewEraIsWaitedFor() {
+        fleet.requestVersion(2);
+        control.advance(2_500);
+        Router holder = holder();
+        holder.control().pause();
+        store.goBackTo(empty);
+        int orders = fleet.accepted().size();
+        control.advance(LEASE_MILLIS);
+        assertEquals(fleet.accepted().size(), orders);
+        holder.control().resume();
+        control.advance(ALLOWED_MILLIS);
+        assertEquals(fleet.oldestVersion(), 2);
+        assertTermsAreSound();
+    }
+
+    // Guards against a roll-out without a holder because the key of the last one hangs on a lease that the store has
+    // given out again, to a router that renews it for ever.
+    @Test
+    public void recordOnTheLeaseOfAnotherIsRemoved() {
+        fleet.requestVersion(2);
+        control.advance(2_500);
+        FakeKeyValueStore.Copy copy = store.copy();
+        control.advance(500);
+        store.goBackTo(copy);
+        store.detachFromLease(RolloutRecord.KEY);
+        control.advance(ALLOWED_MILLIS + 2 * LEASE_MILLIS);
+        assertEquals(fleet.oldestVersion(), 2);
+        assertTermsAreSound();
+    }
+
+    // Guards against requests that expect the weights of before, because the entries of the older copy state them.
+    @Test
+    public void loadedWeightsAreRememberedWhenTheStoreGoesBack() {
+        FleetState state = routers.get(0).state();
+        fleet.requestVersion(2);
+        control.advance(ALLOWED_MILLIS);
+        fleet.stateVersions(1);
+        store.goBackTo(empty);
+        control.advance(2 * POLL_MILLIS);
+        assertEquals(knownVersions(routers.get(0), FakeFleet.MODEL), Set.of(2L));
+        assertEquals(state.snapshot().view().newestWeightsVersions().get(FakeFleet.MODEL), (Long) 2L);
+    }
+
+    private void assertTermsAreSound() {
+        assertTokensBelongToOneHolder();
+        for (int i = 1; i < fleet.accepted().size(); i++) {
+            WeightsOrder before = fleet.accepted().get(i - 1);
+            WeightsOrder order = fleet.accepted().get(i);
+            assertTrue(order.fencingToken() >= before.fencingToken(), "an order with an older token was carried out");
+            long gapMillis =
+                    fleet.acceptedAtMillis().get(i) - fleet.acceptedAtMillis().get(i - 1);
+            assertTrue(
+                    order.holder().equals(before.holder()) || gapMillis >= LEASE_MILLIS,
+                    "two holders within " + gapMillis + " ms");
+        }
+    }
+
     private static Set<Long> knownVersions(Router router, String model) {
         FleetSnapshot snapshot = router.state().snapshot();
         return snapshot.view().upstreams().stream()
