--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakTest.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakTest.java
@@ -113,7 +113,7 @@
         SoakFleet.Router router = fleet.routers().get(random.nextInt(ROUTERS));
         SoakFleet.Upstream upstream = fleet.upstreams().get(random.nextInt(UPSTREAMS));
         String about = router.name();
-        switch (random.nextInt(10)) {
+        switch (random.nextInt(11)) {
             case 0 -> {
                 FaultProxy.Fault fault = LINK_FAULTS[random.nextInt(LINK_FAULTS.length)];
                 router.storeProxy().set(fault);
@@ -146,6 +146,15 @@
             }
             case 7 -> pause(router, upstream);
             case 8 -> restart(router);
+            case 9 -> {
+                // What is written until then is lost and written again in another order.
+                fleet.writeStore("copy", () -> {});
+                String rewrite = "rewrite " + random.nextInt(Integer.MAX_VALUE);
+                begin("store", "goes back", () -> {
+                    fleet.writeStore("back", () -> {});
+                    fleet.writeStore(rewrite, () -> {});
+                });
+            }
             default -> {
                 changeKeys();
                 begin("operator", "version " + version, () -> {});
