Tell other routers which version of the configuration is in use

What callers could see: a router that started while the store had lost the newest configuration took the older one of the copy for current, and accepted a key that all other routers knew to be revoked.

Cause: nothing but the store told a router of the configuration, and a router that has just started has nothing to compare the copy with.

Where the store states an era, digests state the version in use. Within 20 s of its start or of a new era, a router that hears of a newer version withdraws its proof, so that it refuses requests with an API key, and reads again until it has that version. A router that runs for longer has read later than any version of a peer was acknowledged. The field is new; earlier builds ignore it.

Evidence: LoadGossipTest.routersLearnOfNewerConfigurationsFromDigests fails without the field being read, with 3 routers and with 40 behind relays, and passes now, as does StoreEraTest.configurationOfAPeerIsAwaitedAfterTheStart.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -116,7 +116,7 @@
         reservedUntilMillis.values().removeIf(until -> until < verifiedAt.monotonicMillis());
     }
 
-    /** Records a later time at which the content that was read was still current. */
+    /** Records another time at which the content that was read is known to have been current. */
     void confirmCurrent(ClockReading verifiedAt) {
         snapshot = snapshot.withConfigVerifiedAt(verifiedAt);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -239,6 +239,7 @@
         poller.content()
                 .ifPresent(content -> response.setStore(StoreContentEntry.newBuilder()
                         .setEra(content.era())
+                        .setConfigVersion(poller.configVersionForPeers())
                         .setOperatorRevision(content.operatorEntries().newestRevision())
                         .setOperatorDigest(content.operatorEntries().digest())
                         .setUpstreamsRevision(content.upstreamEntries().newestRevision())
@@ -259,13 +260,17 @@
     }
 
     private List<byte[]> digest(DigestKind kind, DigestContent content) {
-        LoadDigest header = LoadDigest.newBuilder()
+        LoadDigest.Builder header = LoadDigest.newBuilder()
                 .setKind(kind)
                 .setVm(self.vm())
                 .setIncarnation(incarnation)
-                .setSequence(sequence)
-                .build();
-        return DigestDatagrams.encode(header, content);
+                .setSequence(sequence);
+        long configVersion = poller.configVersionForPeers();
+        // A digest from a relay states it with the content, once for each receiver.
+        if (configVersion > 0 && kind != DigestKind.DIGEST_KIND_FROM_RELAY) {
+            header.setStore(StoreContentEntry.newBuilder().setConfigVersion(configVersion));
+        }
+        return DigestDatagrams.encode(header.build(), content);
     }
 
     private void send(InetSocketAddress target, List<byte[]> datagrams) {
@@ -303,6 +308,7 @@
         long nowMillis = timers.monotonicMillis();
         DigestEvents events = DigestCodec.events(digest);
         RolloutHints hints = DigestCodec.hints(digest);
+        poller.recordPeerConfig(digest.getStore().getConfigVersion());
         switch (digest.getKind()) {
             case DIGEST_KIND_DIRECT -> update(digest, Source.ROUTER);
             case DIGEST_KIND_TO_RELAY -> {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -44,6 +44,10 @@
     private static final long OUTAGE_GRACE_MILLIS = 2_000;
     // Time within which the operator writes its newest configuration again after the store went back to an older copy.
     private static final long CONFIG_REWRITE_MILLIS = 3_000;
+    // Time after its start, or after the store went back, for which a router may read an older copy and not know it.
+    private static final long COPY_DOUBT_MILLIS = 20_000;
+    // Older than any bound on the age of a proof.
+    private static final long WITHDRAWN_AGE_MILLIS = 86_400_000;
     // Interval between own reads while a relay confirms the content; these reads refresh the list of routers.
     private static final long RELAYED_POLL_MILLIS = 4_000;
     // A relay reads every 700 ms and forwards every 200 ms. A relayed verification time that is older than both plus
@@ -81,6 +85,8 @@
     private long storeRegainedMillis;
     private boolean configProven = true;
     private long configUnprovenUntilMillis;
+    private long copyDoubtUntilMillis;
+    private long awaitedConfigVersion;
     private boolean closed;
 
     /** Creates a poller; {@link #start} begins to read. */
@@ -168,6 +174,38 @@
         }
     }
 
+    /** Version of the configuration in use, for the other routers; 0 for a store without eras. */
+    long configVersionForPeers() {
+        return era() == 0 ? 0 : configVersion();
+    }
+
+    private long configVersion() {
+        return view.config().map(FleetConfig::version).orElse(0L);
+    }
+
+    /**
+     * Records the version of the configuration that another router uses. Soon after the start of this router a newer one
+     * shows that the store may have lost it, and that what was read proves nothing. Must be called on the control thread.
+     */
+    void recordPeerConfig(long version) {
+        boolean inDoubt = timers.monotonicMillis() < copyDoubtUntilMillis;
+        if (!inDoubt || version <= Math.max(configVersion(), awaitedConfigVersion)) {
+            return;
+        }
+        awaitedConfigVersion = version;
+        LOG.event("config_awaited")
+                .with("version", version)
+                .with("known", configVersion())
+                .info();
+        if (configProven) {
+            configProven = false;
+            state.confirmCurrent(timers.now().earlierBy(WITHDRAWN_AGE_MILLIS));
+        }
+        if (!reading) {
+            readOnce(read -> {});
+        }
+    }
+
     /** Identifies the content that this router has read; empty before the first read. */
     public Optional<StoreContentId> content() {
         return state.snapshot().configVerifiedAt().map(verifiedAt -> content);
@@ -291,9 +329,11 @@
             metrics.counter("store_outdated_reads_total").inc();
             return;
         }
-        if (read.content().era() > content.era()
-                && state.snapshot().configVerifiedAt().isPresent()) {
-            startEra(read.content().era());
+        if (read.content().era() > content.era()) {
+            copyDoubtUntilMillis = timers.monotonicMillis() + COPY_DOUBT_MILLIS;
+            if (state.snapshot().configVerifiedAt().isPresent()) {
+                startEra(read.content().era());
+            }
         }
         routerEntries = read.routerEntries();
         content = read.content();
@@ -325,12 +365,13 @@
     // acknowledged
     // and lost may have revoked a key. It does once the operator has written a newer one, or has had time to.
     private ClockReading provenAt(FleetView read, ClockReading verifiedAt) {
-        long known = view.config().map(FleetConfig::version).orElse(0L);
+        long known = configVersion();
         long version = read.config().map(FleetConfig::version).orElse(known);
         if (version > known) {
             configUnprovenUntilMillis = 0;
         }
-        configProven = version >= known && timers.monotonicMillis() >= configUnprovenUntilMillis;
+        configProven = version >= Math.max(known, awaitedConfigVersion)
+                && timers.monotonicMillis() >= configUnprovenUntilMillis;
         return configProven ? verifiedAt : state.snapshot().configVerifiedAt().orElse(verifiedAt);
     }
 
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
@@ -2,6 +2,8 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.CallerLimits;
+import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.node.api.EngineControl;
@@ -39,6 +41,7 @@
     private final Map<String, Long> requestedVersions = new HashMap<>(Map.of(MODEL, 1L, OTHER_MODEL, 1L));
     private long lostResponseDelayMillis = -1;
     private OptionalLong statedVersion = OptionalLong.empty();
+    private Optional<FleetConfig> config = Optional.empty();
     private boolean storeDown;
     private int maxConcurrentLoads;
     private int newestReads;
@@ -81,6 +84,12 @@
         statedVersion = OptionalLong.of(version);
     }
 
+    /** Writes a configuration without routes. */
+    void configure(long version) {
+        CallerLimits limits = new CallerLimits(1_000, 1_000, 1_000, 1_000);
+        config = Optional.of(new FleetConfig(version, List.of(), Map.of(), List.of(), Map.of(), false, limits));
+    }
+
     void setStoreDown(boolean down) {
         storeDown = down;
         store.setOutage(down);
@@ -172,7 +181,7 @@
                 upstreams.add(upstream(id, engine));
             }
         });
-        FleetView view = new FleetView(Optional.empty(), upstreams, requestedVersions, Set.of());
+        FleetView view = new FleetView(config, upstreams, requestedVersions, Set.of());
         return store.list("").thenApply(items -> new FleetReadResult(view, content(upstreams), items));
     }
 
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
@@ -225,6 +225,33 @@
                 assertTrue(router.configAgeMillis() <= 2_000, router.entry.vm() + " " + router.configAgeMillis()));
     }
 
+    @DataProvider
+    public Object[][] directAndRelayed() {
+        return new Object[][] {{3}, {40}};
+    }
+
+    // Guards against a router that accepts keys by a configuration of which its peers or its relay know a newer one,
+    // shortly after the store went back.
+    @Test(dataProvider = "directAndRelayed")
+    public void routersLearnOfNewerConfigurationsFromDigests(int size) {
+        GossipCluster cluster = new GossipCluster(size);
+        cluster.fleet.configure(5);
+        cluster.store.goBackTo(cluster.store.copy());
+        cluster.control.advance(6_000);
+        GossipCluster.Router behind = cluster.routers.stream()
+                .filter(router -> !router.gossip.isRelay())
+                .findFirst()
+                .orElseThrow();
+        assertTrue(behind.configAgeMillis() <= 2_000, "age " + behind.configAgeMillis());
+        behind.setCutFromStore(true);
+        cluster.fleet.configure(6);
+        cluster.control.advance(2_500);
+        assertTrue(behind.configAgeMillis() > 10_000_000, "age " + behind.configAgeMillis());
+        behind.setCutFromStore(false);
+        cluster.control.advance(6_000);
+        assertTrue(behind.configAgeMillis() <= 2_000, "age " + behind.configAgeMillis());
+    }
+
     // Guards against members whose configuration goes stale with that of a relay which no longer reaches the store.
     @Test
     public void relayCutFromTheStoreVerifiesNothing() {
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StoreEraTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StoreEraTest.java
@@ -136,6 +136,22 @@
         assertEquals(provenMillis(), provenMillis + POLL_MILLIS / 2, "the read before the new era");
     }
 
+    // Guards against a router that starts on the older copy and accepts a key that its peers know to be revoked.
+    @Test
+    public void configurationOfAPeerIsAwaitedAfterTheStart() {
+        poller.recordPeerConfig(5);
+        assertTrue(ageMillis() <= POLL_MILLIS);
+        poller.recordPeerConfig(6);
+        control.advance(10_000);
+        assertTrue(ageMillis() > 10_000_000, "age " + ageMillis());
+        configure(6, "kept");
+        control.advance(POLL_MILLIS);
+        assertTrue(ageMillis() <= POLL_MILLIS, "age " + ageMillis());
+        control.advance(20_000);
+        poller.recordPeerConfig(7);
+        assertTrue(ageMillis() <= POLL_MILLIS, "a running router has read later than the version was acknowledged");
+    }
+
     // Guards against a delayed result of the era before that takes the place of the newest one.
     @Test
     public void resultsOfAnEarlierEraAreDropped() {
