--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -89,6 +89,9 @@
     /**
      * Applies the result of a read of the store.
      *
+     * @param verifiedAt when the read was sent
+     * @param provenAt when the configuration of the view is known to have been current; earlier than the read where
+     *     the store may have lost a newer one
      * @param rollout the record of the holder of the roll-out lease, as read
      * @param requestTimes the times of requested weights that routers have recorded, as read
      * @param afterOutage whether reads have failed all the time since the content was last verified
@@ -96,6 +99,7 @@
     public void update(
             FleetView view,
             ClockReading verifiedAt,
+            ClockReading provenAt,
             RolloutRecord rollout,
             WeightsRequestTimes requestTimes,
             boolean afterOutage) {
@@ -109,7 +113,7 @@
                         (known, read) -> known.with(version, firstRead)));
         requestedWeights.replaceAll(
                 (model, known) -> known.withReported(requestTimes.of(model, verifiedAt), verifiedAt));
-        snapshot = new FleetSnapshot(view, Optional.of(verifiedAt), rollout.loadedWeights(), requestedWeights);
+        snapshot = new FleetSnapshot(view, Optional.of(provenAt), rollout.loadedWeights(), requestedWeights);
         Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
         loads.keySet().retainAll(present);
         observedWeights.keySet().retainAll(present);
@@ -122,7 +126,7 @@
         reservedUntilMillis.values().removeIf(until -> until < verifiedAt.monotonicMillis());
     }
 
-    /** Records a later time at which the content that was read was still current. */
+    /** Records another time at which the content that was read is known to have been current. */
     void confirmCurrent(ClockReading verifiedAt) {
         snapshot = snapshot.withConfigVerifiedAt(verifiedAt);
     }
@@ -253,6 +257,14 @@
                 .merge(model, version, Math::max);
     }
 
+    /** Keeps the weights versions that upstreams are known to have, whatever older entries say from now on. */
+    void rememberWeightsVersions() {
+        FleetSnapshot known = snapshot;
+        known.view().upstreams().forEach(upstream -> upstream.weightsVersions()
+                .keySet()
+                .forEach(model -> recordWeightsVersion(upstream, model, weightsVersion(known, upstream, model))));
+    }
+
     /** Records that another upstream responds at this one's address. */
     public void recordReplacement(FleetUpstream upstream) {
         replaced.add(upstream.key());
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -3,6 +3,7 @@
 import com.codahale.metrics.MetricRegistry;
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.fleet.ClockReading;
+import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.node.api.FleetReadResult;
@@ -42,6 +43,12 @@
     private static final int MAX_SHIFT = 10;
     // Upstreams whose entries expired during an outage of the store are listed again about two seconds after it.
     private static final long OUTAGE_GRACE_MILLIS = 2_000;
+    // Time within which the operator writes its newest configuration again after the store went back to an older copy.
+    private static final long CONFIG_REWRITE_MILLIS = 3_000;
+    // Time after its start, or after the store went back, for which a router may read an older copy and not know it.
+    private static final long COPY_DOUBT_MILLIS = 20_000;
+    // Older than any bound on the age of a proof.
+    private static final long WITHDRAWN_AGE_MILLIS = 86_400_000;
     // Interval between own reads while a relay confirms the content; these reads refresh the list of routers.
     private static final long RELAYED_POLL_MILLIS = 4_000;
     // A relay reads every 700 ms and forwards every 200 ms. A relayed verification time that is older than both plus
@@ -68,6 +75,7 @@
     private final long pollMillis;
     private final MetricRegistry metrics;
     private final List<Runnable> listeners = new ArrayList<>();
+    private final KnownUpstreams knownUpstreams = new KnownUpstreams();
     private FleetView view = FleetView.EMPTY;
     private List<KeyValue> routerEntries = List.of();
     private Optional<KeyValue> rollout = Optional.empty();
@@ -84,6 +92,10 @@
     private Optional<ClockReading> lastFailedAt = Optional.empty();
     private boolean wasIdle;
     private long storeRegainedMillis;
+    private boolean configProven = true;
+    private long configUnprovenUntilMillis;
+    private long copyDoubtUntilMillis;
+    private long awaitedConfigVersion;
     private boolean closed;
 
     /** Creates a poller; {@link #start} begins to read. */
@@ -141,6 +153,11 @@
         return requestTimes;
     }
 
+    /** Era of the store in which it was last read. */
+    long era() {
+        return content.era();
+    }
+
     /** The store entries that routers have written, as last read. */
     public List<KeyValue> routerEntries() {
         return routerEntries;
@@ -156,7 +173,7 @@
     public void compareWithRelay(StoreContentId relayed, ClockReading verifiedAt) {
         long nowMillis = timers.monotonicMillis();
         relayedContent = relayed;
-        if (relayed.operatorEntries().equals(content.operatorEntries())) {
+        if (relayed.hasSameOperatorEntries(content) && configProven) {
             relayVerifiedAt = Optional.of(verifiedAt);
             state.snapshot()
                     .configVerifiedAt()
@@ -164,8 +181,8 @@
                             > verifiedAt.ageMillis(nowMillis, timers.epochMillis()))
                     .ifPresent(known -> state.confirmCurrent(verifiedAt));
         }
-        boolean operatorChanged = content.operatorEntries().mayBeOlderThan(relayed.operatorEntries());
-        boolean upstreamsChanged = content.upstreamEntries().mayBeOlderThan(relayed.upstreamEntries());
+        boolean operatorChanged = content.operatorEntriesMayBeOlderThan(relayed);
+        boolean upstreamsChanged = content.upstreamEntriesMayBeOlderThan(relayed);
         long gapMillis =
                 Math.max(operatorChanged ? MIN_READ_GAP_MILLIS : DIRECTORY_READ_GAP_MILLIS, failurePauseMillis());
         if (!reading && (operatorChanged || upstreamsChanged) && nowMillis - readStartedMillis >= gapMillis) {
@@ -177,6 +194,38 @@
         }
     }
 
+    /** Version of the configuration in use, for the other routers; 0 for a store without eras. */
+    long configVersionForPeers() {
+        return era() == 0 ? 0 : configVersion();
+    }
+
+    private long configVersion() {
+        return view.config().map(FleetConfig::version).orElse(0L);
+    }
+
+    /**
+     * Records the version of the configuration that another router uses. Soon after the start of this router a newer one
+     * shows that the store may have lost it, and that what was read proves nothing. Must be called on the control thread.
+     */
+    void recordPeerConfig(long version) {
+        boolean inDoubt = timers.monotonicMillis() < copyDoubtUntilMillis;
+        if (!inDoubt || version <= Math.max(configVersion(), awaitedConfigVersion)) {
+            return;
+        }
+        awaitedConfigVersion = version;
+        LOG.event("config_awaited")
+                .with("version", version)
+                .with("known", configVersion())
+                .info();
+        if (configProven) {
+            configProven = false;
+            state.confirmCurrent(timers.now().earlierBy(WITHDRAWN_AGE_MILLIS));
+        }
+        if (!reading) {
+            readOnce(read -> {});
+        }
+    }
+
     /** Identifies the content that this router has read; empty before the first read. */
     public Optional<StoreContentId> content() {
         return state.snapshot().configVerifiedAt().map(verifiedAt -> content);
@@ -236,7 +285,9 @@
         });
     }
 
-    // The roll-out record is no part of the compared content, and its revision must not go back.
+    // The roll-out record is no part of the compared content, and its revision must not go back. Revisions of a later
+    // era
+    // of the store are larger, so a record of an earlier era does not stay.
     private FleetReadResult withNewestRollout(FleetReadResult read) {
         boolean hasOlder = read.routerEntries().stream().anyMatch(this::isOlderRollout);
         if (!hasOlder) {
@@ -305,18 +356,58 @@
             storeRegainedMillis = timers.monotonicMillis();
             LOG.event("dependency_regained").with("dependency", "store").info();
         }
+        if (read.content().era() < content.era()) {
+            // A delayed result: what it holds may be gone from the store.
+            metrics.counter("store_outdated_reads_total").inc();
+            return;
+        }
+        if (read.content().era() > content.era()) {
+            copyDoubtUntilMillis = timers.monotonicMillis() + COPY_DOUBT_MILLIS;
+            if (state.snapshot().configVerifiedAt().isPresent()) {
+                startEra(read.content().era());
+            }
+        }
         routerEntries = read.routerEntries();
         content = read.content();
+        ClockReading provenAt = provenAt(read.view(), verifiedAt);
         FleetView next = merge(read.view());
         RolloutRecord record = rolloutRecord(read.routerEntries());
         requestTimes = requestTimes(read.routerEntries());
         next = new FleetView(next.config(), next.upstreams(), next.newestWeightsVersions(), record.reserved());
         logChanges(view, next, unreadMillis(verifiedAt));
         view = next;
-        state.update(next, verifiedAt, record, requestTimes, afterOutage);
+        state.update(next, verifiedAt, provenAt, record, requestTimes, afterOutage);
         listeners.forEach(Runnable::run);
     }
 
+    private void startEra(long era) {
+        long nowMillis = timers.monotonicMillis();
+        metrics.counter("store_era_changes_total").inc();
+        LOG.event("store_era_changed")
+                .with("era", era)
+                .with("before", content.era())
+                .with("config", view.config().map(FleetConfig::version).orElse(0L))
+                .with("upstreams", view.upstreams().size())
+                .warning();
+        state.rememberWeightsVersions();
+        knownUpstreams.startEra(view.upstreams(), nowMillis);
+        configUnprovenUntilMillis = nowMillis + CONFIG_REWRITE_MILLIS;
+    }
+
+    // After the store went back, a read does not prove that the configuration is the newest one: one that was
+    // acknowledged
+    // and lost may have revoked a key. It does once the operator has written a newer one, or has had time to.
+    private ClockReading provenAt(FleetView read, ClockReading verifiedAt) {
+        long known = configVersion();
+        long version = read.config().map(FleetConfig::version).orElse(known);
+        if (version > known) {
+            configUnprovenUntilMillis = 0;
+        }
+        configProven = version >= Math.max(known, awaitedConfigVersion)
+                && timers.monotonicMillis() >= configUnprovenUntilMillis;
+        return configProven ? verifiedAt : state.snapshot().configVerifiedAt().orElse(verifiedAt);
+    }
+
     private FleetView merge(FleetView read) {
         boolean regressed = view.config().isPresent()
                 && read.config().isPresent()
@@ -332,23 +423,16 @@
         read.newestWeightsVersions().forEach((model, version) -> weights.merge(model, version, Math::max));
         return new FleetView(
                 regressed || read.config().isEmpty() ? view.config() : read.config(),
-                withMissingAfterOutage(read.upstreams()),
+                withMissing(read.upstreams()),
                 weights,
                 Set.of());
     }
 
     // Shortly after an outage of the store, entries of upstreams that are alive may still be missing.
-    private List<FleetUpstream> withMissingAfterOutage(List<FleetUpstream> read) {
-        if (timers.monotonicMillis() - storeRegainedMillis >= OUTAGE_GRACE_MILLIS) {
-            return read;
-        }
-        Set<String> ids = read.stream().map(FleetUpstream::id).collect(Collectors.toSet());
-        Set<String> addresses = read.stream().map(FleetUpstream::address).collect(Collectors.toSet());
-        List<FleetUpstream> all = new ArrayList<>(read);
-        view.upstreams().stream()
-                .filter(known -> !known.draining() && !ids.contains(known.id()) && !addresses.contains(known.address()))
-                .forEach(all::add);
-        return all;
+    private List<FleetUpstream> withMissing(List<FleetUpstream> read) {
+        long nowMillis = timers.monotonicMillis();
+        boolean shortlyAfterOutage = nowMillis - storeRegainedMillis < OUTAGE_GRACE_MILLIS;
+        return knownUpstreams.merge(read, shortlyAfterOutage ? view.upstreams() : List.of(), nowMillis);
     }
 
     private RolloutRecord rolloutRecord(List<KeyValue> items) {
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FakeFleet.java
@@ -2,6 +2,8 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.core.fleet.CallerLimits;
+import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
 import io.agatelane.node.api.EngineControl;
@@ -18,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -34,8 +37,11 @@
     private final FakeKeyValueStore store;
     private final Map<String, Engine> engines = new HashMap<>();
     private final List<WeightsOrder> accepted = new ArrayList<>();
+    private final List<Long> acceptedAtMillis = new ArrayList<>();
     private final Map<String, Long> requestedVersions = new HashMap<>(Map.of(MODEL, 1L, OTHER_MODEL, 1L));
     private long lostResponseDelayMillis = -1;
+    private OptionalLong statedVersion = OptionalLong.empty();
+    private Optional<FleetConfig> config = Optional.empty();
     private boolean storeDown;
     private int maxConcurrentLoads;
     private int newestReads;
@@ -73,6 +79,17 @@
         lostResponseDelayMillis = delayMillis;
     }
 
+    /** From now on the entries of all engines state this version, whatever they have. */
+    void stateVersions(long version) {
+        statedVersion = OptionalLong.of(version);
+    }
+
+    /** Writes a configuration without routes. */
+    void configure(long version) {
+        CallerLimits limits = new CallerLimits(1_000, 1_000, 1_000, 1_000);
+        config = Optional.of(new FleetConfig(version, List.of(), Map.of(), List.of(), Map.of(), false, limits));
+    }
+
     void setStoreDown(boolean down) {
         storeDown = down;
         store.setOutage(down);
@@ -120,6 +137,11 @@
         return accepted;
     }
 
+    /** When the orders of {@link #accepted} were accepted. */
+    List<Long> acceptedAtMillis() {
+        return acceptedAtMillis;
+    }
+
     int maxConcurrentLoads() {
         return maxConcurrentLoads;
     }
@@ -159,26 +181,21 @@
                 upstreams.add(upstream(id, engine));
             }
         });
-        FleetView view = new FleetView(Optional.empty(), upstreams, requestedVersions, Set.of());
+        FleetView view = new FleetView(config, upstreams, requestedVersions, Set.of());
         return store.list("").thenApply(items -> new FleetReadResult(view, content(upstreams), items));
     }
 
     private StoreContentId content(List<FleetUpstream> upstreams) {
         return new StoreContentId(
+                store.era(),
                 new StoreContentId.EntrySetId(1, requestedVersions.hashCode()),
                 new StoreContentId.EntrySetId(1, upstreams.hashCode()));
     }
 
-    private static FleetUpstream upstream(String id, Engine engine) {
-        return new FleetUpstream(
-                id,
-                engine.incarnation,
-                "s",
-                "10.0.0.1:80" + id.substring(1),
-                "z",
-                8,
-                false,
-                Map.copyOf(engine.versions));
+    private FleetUpstream upstream(String id, Engine engine) {
+        Map<String, Long> stated = new HashMap<>(engine.versions);
+        statedVersion.ifPresent(version -> stated.put(MODEL, version));
+        return new FleetUpstream(id, engine.incarnation, "s", "10.0.0.1:80" + id.substring(1), "z", 8, false, stated);
     }
 
     @Override
@@ -221,6 +238,7 @@
             return OrderResponse.CONFLICT;
         }
         accepted.add(order);
+        acceptedAtMillis.add(control.monotonicMillis());
         engine.orders++;
         engine.busy = true;
         maxConcurrentLoads = Math.max(maxConcurrentLoads, (int)
