Repeat crash reports until all routers have them

Seen: on a deployment of 58 routers a request was still passed on to upstreams long after it had crashed its third one (BUDGET).

Cause: a router sent a crash report in one datagram and never again, unless it refused the request itself. Reports were lost for good with a dropped datagram, with a relay that had died (its members notice that after 700 ms), and while a router knew of no other. Then no router counted three crashes, or only one did. A router that was frozen during the crashes learned of them only when the request came to another one. A router that had restarted counted from one again, which the others took for old news. Besides, the table of suspects dropped the oldest entry first: a few engines that end with a full queue displace a request that is refused, and it runs again.

Every router that knows of more than one crash now repeats all reports on the request, with a pause of 500 ms for 5 s after the last news, and every 2 s while it is refused or was until 30 s ago. A single crash is repeated twice, because most of these requests are harmless. A relay passes on equal reports once. The reporter is a random number of each start. Requests that were seen in one crash only have a table of their own and cannot displace the others.

Reports that arrive more surely also let more harmless requests reach three coincidental crashes, so a successful response now clears the request on all routers (a negative count), not only on the one that served it. Older builds ignore these reports.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
@@ -2,18 +2,20 @@
 
 import io.agatelane.core.fleet.CrashReport;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Requests that were running on upstreams when these crashed, as seen by all routers. Bounded and thread-safe.
  *
  * <p>A request that crashes upstreams makes one unavailable for seconds each time it runs. A harmless request that
- * happened to run on a crashing upstream is cleared by its first successful response.
+ * happened to run on a crashing upstream is cleared by its first successful response, on all routers if some may count
+ * more than one crash of it.
+ *
+ * <p>Every router that knows of more than one crash of a request repeats all reports on it for some seconds, so that
+ * the routers agree although datagrams are lost and relays change.
  */
 public final class CrashSuspects {
     /** Crashes after which a request is not run any more: two may be coincidence, and each one costs an upstream. */
@@ -25,44 +27,23 @@
     /** Longest time for which a request is stored after its last crash, so that a harmless one is run again. */
     public static final long MAX_RETENTION_MILLIS = 600_000;
 
-    // A router that has started meanwhile, or has not seen the request, learns within this time that it is refused.
-    private static final long REPEAT_MILLIS = 5_000;
-
+    private static final long PURGE_MILLIS = 1_000;
+    // Each crash of an upstream makes suspects of all requests on it, and nearly all of them are seen only once. They
+    // have a table of their own so that they cannot displace those that were seen again.
     private static final int MAX_ENTRIES = 2_000;
+    // Two datagrams or three; what does not fit is sent with the next digest.
+    private static final int MAX_REPORTS = 100;
 
     private final long self;
-    private final Map<Long, Suspect> suspects = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Suspect> eldest) {
-            return size() > MAX_ENTRIES;
-        }
-    };
-    private final Set<Long> unsent = new LinkedHashSet<>();
+    private final Map<Long, CrashSuspect> seenOnce = leastRecentlyUsed();
+    private final Map<Long, CrashSuspect> seenAgain = leastRecentlyUsed();
+    private long purgedMillis;
     private volatile boolean empty = true;
 
-    private static final class Suspect {
-        private final Map<Long, Integer> crashesByReporter = new HashMap<>();
-        private long lastCrashMillis;
-        private long expiresMillis;
-        private long reportedMillis;
-
-        private void renew(long nowMillis) {
-            expiresMillis = Math.min(nowMillis + RETENTION_MILLIS, lastCrashMillis + MAX_RETENTION_MILLIS);
-        }
-
-        private int totalCrashes() {
-            return crashesByReporter.values().stream()
-                    .mapToInt(Integer::intValue)
-                    .sum();
-        }
-    }
-
     /**
      * Creates an empty table.
      *
-     * @param self hash of this router's name, to tell its own reports from those of others
+     * @param self hash that tells the reports of this start of this router from all others
      */
     public CrashSuspects(long self) {
         this.self = self;
@@ -75,65 +56,89 @@
 
     /** Records that an upstream crashed while it ran a request. */
     public synchronized void recordCrash(long fingerprint, long nowMillis) {
-        Suspect suspect = suspect(fingerprint, nowMillis);
-        suspect.crashesByReporter.merge(self, 1, Integer::sum);
-        suspect.reportedMillis = nowMillis;
-        unsent.add(fingerprint);
+        CrashSuspect suspect = suspect(fingerprint, nowMillis);
+        suspect.recordOwn(self, nowMillis);
+        store(fingerprint, suspect);
     }
 
-    /** Merges a report, which may be one of this router, from before it was restarted. */
+    /** Merges a report, which may be one of this router. */
     public synchronized void mergeReport(CrashReport report, long nowMillis) {
-        Suspect known = suspects.get(report.fingerprint());
-        int knownCount = known == null ? 0 : known.crashesByReporter.getOrDefault(report.reporter(), 0);
-        if (report.count() > knownCount) {
-            suspect(report.fingerprint(), nowMillis).crashesByReporter.put(report.reporter(), report.count());
-        } else if (known != null) {
-            known.renew(nowMillis);
+        CrashSuspect suspect = suspect(report.fingerprint(), nowMillis);
+        if (suspect.merge(report, nowMillis)) {
+            store(report.fingerprint(), suspect);
         }
     }
 
     /** Records a successful response, which clears the request. */
-    public synchronized void recordSuccess(long fingerprint) {
-        suspects.remove(fingerprint);
-        unsent.remove(fingerprint);
-        empty = suspects.isEmpty();
+    public synchronized void recordSuccess(long fingerprint, long nowMillis) {
+        CrashSuspect suspect = known(fingerprint);
+        if (suspect != null) {
+            suspect.clear(nowMillis);
+            store(fingerprint, suspect);
+        }
     }
 
     /** Whether a request has crashed so many upstreams that it must not be run any more. */
     public synchronized boolean isQuarantined(long fingerprint, long nowMillis) {
-        suspects.values().removeIf(suspect -> suspect.expiresMillis <= nowMillis);
-        empty = suspects.isEmpty();
-        Suspect suspect = suspects.get(fingerprint);
-        boolean quarantined = suspect != null && suspect.totalCrashes() >= QUARANTINE_CRASHES;
+        purge(nowMillis);
+        CrashSuspect suspect = seenAgain.get(fingerprint);
+        boolean quarantined =
+                suspect != null && !suspect.isExpired(nowMillis) && suspect.crashes() >= QUARANTINE_CRASHES;
         if (quarantined) {
-            suspect.renew(nowMillis);
-            if (nowMillis - suspect.reportedMillis >= REPEAT_MILLIS) {
-                suspect.reportedMillis = nowMillis;
-                unsent.add(fingerprint);
-            }
+            suspect.recordRefused(nowMillis);
         }
         return quarantined;
     }
 
-    /** Removes and returns the reports that have not been sent to the other routers yet. */
-    public synchronized List<CrashReport> takeUnsent() {
-        List<CrashReport> reports = new ArrayList<>();
-        for (long fingerprint : unsent) {
-            Suspect suspect = suspects.get(fingerprint);
-            if (suspect != null) {
-                suspect.crashesByReporter.forEach(
-                        (reporter, count) -> reports.add(new CrashReport(fingerprint, reporter, count)));
-            }
+    /** Returns the reports that are due to be sent to the other routers: new ones, and some again. */
+    public synchronized List<CrashReport> takeReports(long nowMillis) {
+        if (empty) {
+            return List.of();
         }
-        unsent.clear();
+        purge(nowMillis);
+        List<CrashReport> reports = new ArrayList<>();
+        Stream.concat(seenAgain.values().stream(), seenOnce.values().stream())
+                .filter(suspect -> suspect.isDue(nowMillis))
+                .takeWhile(suspect -> reports.size() < MAX_REPORTS)
+                .forEach(suspect -> reports.addAll(suspect.takeReports(nowMillis)));
         return reports;
     }
 
-    private Suspect suspect(long fingerprint, long nowMillis) {
-        Suspect suspect = suspects.computeIfAbsent(fingerprint, unknown -> new Suspect());
-        suspect.lastCrashMillis = nowMillis;
-        suspect.renew(nowMillis);
+    private CrashSuspect known(long fingerprint) {
+        CrashSuspect again = seenAgain.get(fingerprint);
+        return again == null ? seenOnce.get(fingerprint) : again;
+    }
+
+    private CrashSuspect suspect(long fingerprint, long nowMillis) {
+        CrashSuspect known = known(fingerprint);
+        return known == null || known.isExpired(nowMillis) ? new CrashSuspect(fingerprint) : known;
+    }
+
+    private void store(long fingerprint, CrashSuspect suspect) {
+        boolean isSeenAgain = suspect.crashes() > 1;
+        (isSeenAgain ? seenOnce : seenAgain).remove(fingerprint);
+        (isSeenAgain ? seenAgain : seenOnce).put(fingerprint, suspect);
         empty = false;
-        return suspect;
+    }
+
+    private void purge(long nowMillis) {
+        if (nowMillis - purgedMillis < PURGE_MILLIS) {
+            return;
+        }
+        purgedMillis = nowMillis;
+        seenOnce.values().removeIf(suspect -> suspect.isExpired(nowMillis));
+        seenAgain.values().removeIf(suspect -> suspect.isExpired(nowMillis));
+        empty = seenOnce.isEmpty() && seenAgain.isEmpty();
+    }
+
+    private static Map<Long, CrashSuspect> leastRecentlyUsed() {
+        return new LinkedHashMap<>(16, 0.75f, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<Long, CrashSuspect> eldest) {
+                return size() > MAX_ENTRIES;
+            }
+        };
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
@@ -4,7 +4,9 @@
 import io.agatelane.core.fleet.PartReport;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 
 /** Events that a digest reports: uses of prompt parts, crashes of upstreams, and parts under which engines ended. */
 record DigestEvents(List<Placement> placements, List<CrashReport> crashes, List<PartReport> partReports) {
@@ -21,8 +23,15 @@
     DigestEvents plus(DigestEvents other) {
         return new DigestEvents(
                 joined(placements, other.placements),
-                joined(crashes, other.crashes),
-                joined(partReports, other.partReports));
+                distinct(crashes, other.crashes),
+                distinct(partReports, other.partReports));
+    }
+
+    // Many routers repeat the same report, and a relay passes it on once.
+    private static <T> List<T> distinct(List<T> first, List<T> second) {
+        Set<T> all = new LinkedHashSet<>(first);
+        all.addAll(second);
+        return all.stream().limit(MAX_EVENTS).toList();
     }
 
     private static <T> List<T> joined(List<T> first, List<T> second) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -63,7 +63,7 @@
 
     private FleetNode(FleetSettings settings, PlatformAdapter adapter) {
         this.settings = settings;
-        state = new FleetState(settings.vmName());
+        state = new FleetState();
         control = new ControlThread(settings.vmName());
         metrics = new MetricRegistry();
         threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -25,6 +25,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 
 /**
@@ -45,7 +46,9 @@
     private final PeerEntries<Long, AccountDemand> peerAccounts = new PeerEntries<>(AccountDemand::plus);
     private final PeerEntries<ServiceDemand.Key, ServiceDemand> peerServices = new PeerEntries<>(ServiceDemand::plus);
     private final PlacementIndex placements = new PlacementIndex();
-    private final CrashSuspects suspects;
+    // A random number for each start: a router that counts from one again is another reporter.
+    private final CrashSuspects suspects =
+            new CrashSuspects(ThreadLocalRandom.current().nextLong());
     private final PartSuspects partSuspects = new PartSuspects();
     private final UpstreamNotices notices = new UpstreamNotices();
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
@@ -58,15 +61,6 @@
     private volatile RolloutHints rolloutHints = RolloutHints.NONE;
     private volatile FleetSnapshot snapshot = new FleetSnapshot(FleetView.EMPTY, Optional.empty(), Map.of(), Map.of());
 
-    /**
-     * Creates an empty state.
-     *
-     * @param vmName name of this router
-     */
-    public FleetState(String vmName) {
-        suspects = new CrashSuspects(Rendezvous.hash(vmName));
-    }
-
     /** Requests that were in flight when upstreams crashed. */
     public CrashSuspects suspects() {
         return suspects;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -156,10 +156,7 @@
         DigestContent own = new DigestContent(
                 state.reportedLoads(nowMillis),
                 0,
-                new DigestEvents(
-                        state.placements().takeUnsent(),
-                        state.suspects().takeUnsent(),
-                        state.partSuspects().takeReports(nowMillis)),
+                ownEvents(nowMillis),
                 state.rolloutHints(),
                 demands.accounts(nowMillis),
                 demands.services(nowMillis));
@@ -184,6 +181,17 @@
         }
     }
 
+    // Reports stay until there is another router to send them to.
+    private DigestEvents ownEvents(long nowMillis) {
+        if (registry.others().isEmpty()) {
+            return DigestEvents.NONE;
+        }
+        return new DigestEvents(
+                state.placements().takeUnsent(),
+                state.suspects().takeReports(nowMillis),
+                state.partSuspects().takeReports(nowMillis));
+    }
+
     private void recordRelay(RouterEntry relay) {
         if (relayName.equals(Optional.of(relay.vm()))) {
             return;
@@ -302,6 +310,8 @@
         long nowMillis = timers.monotonicMillis();
         DigestEvents events = DigestCodec.events(digest);
         RolloutHints hints = DigestCodec.hints(digest);
+        events.crashes().forEach(report -> state.suspects().mergeReport(report, nowMillis));
+        events.partReports().forEach(report -> state.partSuspects().merge(report, nowMillis));
         switch (digest.getKind()) {
             case DIGEST_KIND_DIRECT -> update(digest, Source.ROUTER);
             case DIGEST_KIND_TO_RELAY -> {
@@ -319,7 +329,7 @@
             }
             case DIGEST_KIND_FROM_RELAY -> {
                 if (!relays.receivedFrom(digest.getVm(), nowMillis)) {
-                    // A former relay of this router; the current one sends the same content.
+                    // A former relay of this router; the current one sends the same loads.
                     return;
                 }
                 // Only the first datagram of a digest has this field.
@@ -342,8 +352,6 @@
         }
         state.applyHints(hints, nowMillis);
         events.placements().stream().filter(sentDigests::isForeign).forEach(state.placements()::recordFromPeer);
-        events.crashes().forEach(report -> state.suspects().mergeReport(report, nowMillis));
-        events.partReports().forEach(report -> state.partSuspects().merge(report, nowMillis));
     }
 
     private void update(LoadDigest digest, Source source) {
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/CrashGuard.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/CrashGuard.java
@@ -82,12 +82,14 @@
     /**
      * Records the end of a response.
      *
-     * @param isSound whether the upstream has run the request without an error of its own
+     * @param isSound whether the response shows that the upstream has run the request to its end
      * @param isWholeAnswer whether the prompt was answered
      */
     void recordComplete(boolean isSound, boolean isWholeAnswer) {
         if (isSound && !context.state().suspects().isEmpty()) {
-            context.state().suspects().recordSuccess(fingerprint());
+            context.state()
+                    .suspects()
+                    .recordSuccess(fingerprint(), context.timers().monotonicMillis());
         }
         if (isWholeAnswer) {
             context.state()
--- /dev/null
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/CrashReportSpreadTest.java
@@ -0,0 +1,118 @@
+package io.agatelane.node.fleet;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+
+import io.agatelane.core.fleet.command.CrashSuspects;
+import io.agatelane.node.fleet.GossipCluster.Router;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+public class CrashReportSpreadTest {
+    private static final int ROUTERS = 58;
+    private static final long REQUEST = 7;
+    // The time that the users' rule allows after the third crash.
+    private static final long ALLOWED_MILLIS = 3_000;
+
+    private GossipCluster cluster;
+
+    @BeforeMethod
+    public void start() {
+        cluster = new GossipCluster(ROUTERS);
+    }
+
+    @DataProvider
+    public Object[][] seeds() {
+        return new Object[][] {{1L}, {2L}, {3L}, {4L}, {5L}};
+    }
+
+    // Guards against a request that routers run after its third crash because single datagrams were lost.
+    @Test(dataProvider = "seeds")
+    public void allRoutersRefuseDespiteLostDatagrams(long seed) {
+        cluster.routers.forEach(router -> router.loseIncoming(0.2));
+        Random random = new Random(seed);
+        for (int i = 0; i < CrashSuspects.QUARANTINE_CRASHES; i++) {
+            crash(cluster.routers.get(random.nextInt(ROUTERS)));
+            cluster.control.advance(random.nextInt(500));
+        }
+        cluster.control.advance(ALLOWED_MILLIS);
+        assertEquals(running(cluster.routers), List.of());
+    }
+
+    // Guards against crashes that only a dead relay was told of.
+    @Test
+    public void allRoutersRefuseAlthoughTheirRelayHasDied() {
+        Router dead = cluster.relays().get(0);
+        dead.routerControl.kill();
+        crashAtThree(ofZone(dead.entry.zone()).stream()
+                .filter(router -> router != dead)
+                .toList());
+        cluster.control.advance(ALLOWED_MILLIS);
+        assertEquals(
+                running(cluster.routers.stream()
+                        .filter(router -> router != dead)
+                        .toList()),
+                List.of());
+    }
+
+    // Guards against a router that was frozen or cut off during the crashes and runs the request when it is back.
+    @Test
+    public void routerThatMissedTheCrashesLearnsOfThem() {
+        Router away = cluster.routers.get(20);
+        away.setDropsIncoming(true);
+        cluster.control.advance(2_000);
+        crashAtThree(cluster.routers.subList(0, 20));
+        cluster.control.advance(10_000);
+        away.setDropsIncoming(false);
+        cluster.control.advance(ALLOWED_MILLIS);
+        assertEquals(running(List.of(away)), List.of());
+    }
+
+    // Guards against reports that a restarted router makes in vain because it counts from one again.
+    @Test
+    public void crashesBeforeAndAfterARestartAreAdded() {
+        Router restarted = cluster.routers.get(20);
+        crash(restarted);
+        cluster.control.advance(1_000);
+        FleetState after = new FleetState();
+        after.suspects().recordCrash(REQUEST, cluster.control.monotonicMillis());
+        Router other = cluster.routers.get(30);
+        after.suspects()
+                .takeReports(cluster.control.monotonicMillis())
+                .forEach(report -> other.state.suspects().mergeReport(report, cluster.control.monotonicMillis()));
+        assertFalse(refuses(other));
+        crash(other);
+        assertEquals(running(List.of(other)), List.of());
+    }
+
+    private List<Router> ofZone(String zone) {
+        return cluster.routers.stream()
+                .filter(router -> router.entry.zone().equals(zone))
+                .toList();
+    }
+
+    private void crashAtThree(List<Router> routers) {
+        for (int i = 0; i < CrashSuspects.QUARANTINE_CRASHES; i++) {
+            crash(routers.get(i));
+            cluster.control.advance(150);
+        }
+    }
+
+    private void crash(Router router) {
+        router.state.suspects().recordCrash(REQUEST, cluster.control.monotonicMillis());
+    }
+
+    private List<String> running(List<Router> routers) {
+        return routers.stream()
+                .filter(router -> !refuses(router))
+                .map(router -> router.entry.vm())
+                .toList();
+    }
+
+    private boolean refuses(Router router) {
+        return router.state.suspects().isQuarantined(REQUEST, cluster.control.monotonicMillis());
+    }
+}
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/GossipCluster.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/GossipCluster.java
@@ -28,6 +28,7 @@
     final FakeFleet fleet = new FakeFleet(control, store, 4);
     final List<Router> routers = new ArrayList<>();
     private final Map<InetSocketAddress, Router> byAddress = new HashMap<>();
+    private final Random loss = new Random(29);
     private int packets;
     private int bytesBetweenZones;
 
@@ -66,12 +67,13 @@
         private final RouterRegistry registry;
         private boolean cutFromStore;
         private boolean dropsIncoming;
+        private double lossShare;
         private long incomingDelayMillis;
 
         private Router(int number) {
             String zone = "z" + number % ZONES;
             entry = new RouterEntry("vm-" + number, zone, new InetSocketAddress("127.0.0.1", 10_000 + number));
-            state = new FleetState(entry.vm());
+            state = new FleetState();
             MetricRegistry metrics = new MetricRegistry();
             Random random = new Random(number);
             FleetSource source = new FleetSource() {
@@ -108,7 +110,7 @@
                 bytesBetweenZones += packet.length;
             }
             control.after(PACKET_DELAY_MILLIS + receiver.incomingDelayMillis, () -> {
-                if (!receiver.dropsIncoming) {
+                if (!receiver.dropsIncoming && loss.nextDouble() >= receiver.lossShare) {
                     receiver.routerControl.execute(() -> receiver.gossip.receive(entry.address(), packet));
                 }
             });
@@ -123,6 +125,11 @@
             dropsIncoming = drops;
         }
 
+        /** Loses a share of the packets to this router. */
+        void loseIncoming(double share) {
+            lossShare = share;
+        }
+
         /** Delays packets to this router from now on. */
         void delayIncoming(long millis) {
             incomingDelayMillis = millis;
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/RouterRegistryTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/RouterRegistryTest.java
@@ -23,7 +23,7 @@
         FakeFleet fleet = new FakeFleet(control, store, 1);
         RouterEntry self = new RouterEntry("vm-1", "z", new InetSocketAddress("127.0.0.1", 7_000));
         StorePoller poller = new StorePoller(
-                fleet, new FleetState("vm-1"), control, control, new Random(1), POLL_MILLIS, new MetricRegistry());
+                fleet, new FleetState(), control, control, new Random(1), POLL_MILLIS, new MetricRegistry());
         RouterRegistry registry = new RouterRegistry(store, poller, control, control, new Random(1), self);
         List<String> odd = List.of(
                 "", ":", "::", "10.0.0.2:z", "10.0.0.2:99999:z", "10.0.0.2:0:z", "10.0.0.300:7:z", "localhost:7:z");
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -17,7 +17,7 @@
     public void failureToApplyAReadDoesNotEndThePolling() {
         FakeControl control = new FakeControl();
         FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
-        FleetState state = new FleetState("vm-1");
+        FleetState state = new FleetState();
         StorePoller poller =
                 new StorePoller(fleet, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry());
         boolean[] failed = new boolean[1];
@@ -40,7 +40,7 @@
     public void rejectedReadsAreRepeatedLessAndLessOften() {
         FakeControl control = new FakeControl();
         FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
-        FleetState state = new FleetState("vm-1");
+        FleetState state = new FleetState();
         new StorePoller(fleet, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry()).start();
         control.advance(5_000);
         fleet.setStoreDown(true);
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -280,7 +280,7 @@
     private Router router(int number) {
         FakeRouterControl routerControl = new FakeRouterControl(control);
         MetricRegistry metrics = new MetricRegistry();
-        FleetState state = new FleetState("vm-" + number);
+        FleetState state = new FleetState();
         Random random = new Random(number);
         StorePoller poller = new StorePoller(fleet, state, routerControl, routerControl, random, POLL_MILLIS, metrics);
         String name = "vm-" + number;
--- a/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/forward/UpstreamAttemptTest.java
@@ -33,7 +33,7 @@
 
 public class UpstreamAttemptTest {
     private final HttpClient client = new HttpClient();
-    private final FleetState state = new FleetState("vm-1");
+    private final FleetState state = new FleetState();
 
     @BeforeClass
     public void start() throws Exception {
