Join the reports of two relays in one availability zone

Seen: while some routers of a zone avoid their relay, which lasts 10 s, 10 to 20 of 58 routers still ran a request 3 s after its third crash. Loads that passed through the second relay counted twice (69 requests where 58 ran).

Cause: the relays of other zones answered only the relay of a zone from which the last packet had come. The second relay reports to the first, but passed neither its own events to its members nor theirs on. It also took the loads of other zones from both sides.

The second relay passes its own crash reports on to its members; with the repeated reports that joins both halves. It takes loads of other zones only through the first relay.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
@@ -27,6 +27,11 @@
                 distinct(partReports, other.partReports));
     }
 
+    /** Returns the events that may be received several times. */
+    DigestEvents repeatable() {
+        return new DigestEvents(List.of(), crashes, partReports);
+    }
+
     // Many routers repeat the same report, and a relay passes it on once.
     private static <T> List<T> distinct(List<T> first, List<T> second) {
         Set<T> all = new LinkedHashSet<>(first);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -176,8 +176,9 @@
         if (relays.isRelay()) {
             forward(members, own);
         } else if (!members.isEmpty()) {
-            // This router reports to another relay, so its own loads must not be forwarded from here as well.
-            forward(members, DigestContent.empty());
+            // This router reports to another relay, so its own loads must not be forwarded from here as well. What it
+            // repeats is all that its members get to know of the crashes which the other relay was told of.
+            forward(members, DigestContent.empty().withEvents(own.events().repeatable(), RolloutHints.NONE));
         }
     }
 
@@ -321,7 +322,10 @@
                 outbox.receivedFromMember(digest.getVm(), member, events, hints);
             }
             case DIGEST_KIND_BETWEEN_RELAYS -> {
-                update(digest, Source.RELAY);
+                // Otherwise the relay of this router reports the same loads.
+                if (relays.isRelay() || isDirect()) {
+                    update(digest, Source.RELAY);
+                }
                 outbox.receivedFromRelay(digest.getVm(), events, hints, nowMillis);
                 registry.others().stream()
                         .filter(other -> other.vm().equals(digest.getVm()))
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/ZoneRelays.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/ZoneRelays.java
@@ -24,12 +24,10 @@
 
     private final RouterEntry self;
     private final Map<String, Long> avoidedUntilMillis = new HashMap<>();
-    private final Map<String, LastPacket> lastPacketByZone = new HashMap<>();
+    private final Map<RouterEntry, Long> receivedMillisByRelay = new HashMap<>();
     private Optional<RouterEntry> current = Optional.empty();
     private long lastReceivedMillis;
 
-    private record LastPacket(RouterEntry relay, long receivedMillis) {}
-
     ZoneRelays(RouterEntry self) {
         this.self = self;
     }
@@ -69,21 +67,24 @@
 
     /** Records a packet of the relay of another zone. */
     void receivedFromOtherZone(RouterEntry relay, long nowMillis) {
-        lastPacketByZone.put(relay.zone(), new LastPacket(relay, nowMillis));
+        receivedMillisByRelay.put(relay, nowMillis);
     }
 
-    /** Relays of the other zones. */
+    /** Relays of the other zones. A zone has several while some of its routers avoid the first one. */
     List<RouterEntry> otherZoneRelays(List<RouterEntry> others, long nowMillis) {
+        receivedMillisByRelay.values().removeIf(received -> nowMillis - received > UNRESPONSIVE_MILLIS);
         Map<String, List<RouterEntry>> byZone = others.stream()
                 .filter(entry -> !entry.zone().equals(self.zone()))
                 .collect(Collectors.groupingBy(RouterEntry::zone));
         List<RouterEntry> relays = new ArrayList<>();
         byZone.keySet().forEach(zone -> {
-            LastPacket last = lastPacketByZone.get(zone);
-            if (last != null && nowMillis - last.receivedMillis() <= UNRESPONSIVE_MILLIS) {
-                relays.add(last.relay());
-            } else {
+            List<RouterEntry> active = receivedMillisByRelay.keySet().stream()
+                    .filter(relay -> relay.zone().equals(zone))
+                    .toList();
+            if (active.isEmpty()) {
                 ranked(zone, others).stream().limit(ASSUMED_RELAYS).forEach(relays::add);
+            } else {
+                relays.addAll(active);
             }
         });
         return relays;
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/CrashReportSpreadTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/CrashReportSpreadTest.java
@@ -2,11 +2,15 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
+import io.agatelane.core.fleet.RequestWork;
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.node.fleet.GossipCluster.Router;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.stream.Collectors;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -58,6 +62,37 @@
                 List.of());
     }
 
+    // Guards against routers of one zone that use different relays and count crashes separately.
+    @Test(dataProvider = "seeds")
+    public void allRoutersRefuseWhileAZoneUsesTwoRelays(long seed) {
+        Router relay = cluster.relays().get(0);
+        List<Router> members = ofZone(relay.entry.zone()).stream()
+                .filter(router -> router != relay)
+                .collect(Collectors.toList());
+        Collections.shuffle(members, new Random(seed));
+        splitZone(members);
+        crashAtThree(members);
+        cluster.control.advance(ALLOWED_MILLIS);
+        assertEquals(running(cluster.routers), List.of());
+    }
+
+    // Guards against loads that two relays of a zone pass on and that count twice.
+    @Test
+    public void loadsCountOnceWhileAZoneUsesTwoRelays() {
+        Router relay = cluster.relays().get(0);
+        splitZone(ofZone(relay.entry.zone()).stream()
+                .filter(router -> router != relay)
+                .toList());
+        long now = cluster.control.monotonicMillis();
+        cluster.routers.forEach(
+                router -> router.state.load(router.upstream()).recordSent(router, new RequestWork(0, 10, 0), now));
+        cluster.control.advance(2_000);
+        for (Router router : cluster.routers) {
+            assertTrue(
+                    router.estimatedRequests() <= ROUTERS + 0.01, router.entry.vm() + " " + router.estimatedRequests());
+        }
+    }
+
     // Guards against a router that was frozen or cut off during the crashes and runs the request when it is back.
     @Test
     public void routerThatMissedTheCrashesLearnsOfThem() {
@@ -94,6 +129,15 @@
                 .toList();
     }
 
+    // Half of the members receive nothing for longer than a relay may be silent, and avoid the relay from then on.
+    private void splitZone(List<Router> members) {
+        List<Router> avoiding = members.subList(0, members.size() / 2);
+        avoiding.forEach(router -> router.setDropsIncoming(true));
+        cluster.control.advance(1_000);
+        avoiding.forEach(router -> router.setDropsIncoming(false));
+        cluster.control.advance(500);
+    }
+
     private void crashAtThree(List<Router> routers) {
         for (int i = 0; i < CrashSuspects.QUARANTINE_CRASHES; i++) {
             crash(routers.get(i));
