Count crashes by requests that were given up before

Seen: a request whose caller leaves, or whose deadline passes, before it crashes the upstream was never refused.

Cause: the router closes the connection of a request that it gives up, so it cannot see the connection break. Upstreams need not drop a request whose connection closes.

The requests that were given up without a byte of a response are kept for 10 s by upstream. When the upstream refuses a connection, or its entry is gone or names another start although it did not announce that it leaves, they count as having crashed it. One end counts once. A success clears a harmless request. Shared parts of prompts are not suspected this way, because the time of such an end is too inexact to tell engines that end together.

--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakFleet.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakFleet.java
@@ -83,6 +83,11 @@
 
     /** Starts a router. */
     void addRouter() throws Exception {
+        addRouter("z");
+    }
+
+    /** Starts a router in an availability zone. */
+    void addRouter(String zone) throws Exception {
         String name = "vm-" + (routers.size() + 1);
         List<InetSocketAddress> addresses = FreeAddresses.find(ADDRESSES_PER_ROUTER);
         FaultProxy proxy = new FaultProxy(storeAddress);
@@ -91,7 +96,7 @@
                 settings,
                 """
                 {
-                  "vm": {"name": "%s", "availabilityZone": "z"},
+                  "vm": {"name": "%s", "availabilityZone": "%s"},
                   "listen": {"callerAddress": "%s", "readinessAddress": "%s", "metricsAddress": "%s", "peerAddress": "%s"},
                   "store": {"address": "%s", "timeoutMillis": 500, "pollMillis": 200},
                   "bounds": {"revocationSeconds": %s, "graceSeconds": 6, "leaseSeconds": 2,
@@ -100,6 +105,7 @@
                 """
                         .formatted(
                                 name,
+                                zone,
                                 format(addresses.get(0)),
                                 format(addresses.get(1)),
                                 format(addresses.get(2)),
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.UpstreamEstimate;
+import io.agatelane.core.fleet.command.AbandonedRequests;
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.PeerEntries;
@@ -19,6 +20,7 @@
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.core.limits.AccountDemand;
+import io.agatelane.node.util.EventLog;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +35,7 @@
  * by the control thread, read by the threads that serve requests.
  */
 public final class FleetState {
+    private static final EventLog LOG = EventLog.of(FleetState.class);
     // Failures that have decayed below this do not affect the choice of an upstream, so they are not reported.
     private static final double MIN_REPORTED_FAILURES = 0.1;
     private static final double MIN_REPORTED_DEVIATION = 0.1;
@@ -50,6 +53,7 @@
     private final CrashSuspects suspects =
             new CrashSuspects(ThreadLocalRandom.current().nextLong());
     private final PartSuspects partSuspects = new PartSuspects();
+    private final AbandonedRequests abandoned = new AbandonedRequests();
     private final UpstreamNotices notices = new UpstreamNotices();
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Long>> observedWeights = new ConcurrentHashMap<>();
@@ -71,6 +75,31 @@
         return partSuspects;
     }
 
+    /** Requests that were given up before their upstreams responded. */
+    public AbandonedRequests abandoned() {
+        return abandoned;
+    }
+
+    /** Records that an upstream has ended without notice, maybe by a request that was given up there. */
+    public void recordEnded(FleetUpstream upstream, long nowMillis) {
+        abandoned.takeEnded(upstream.key(), nowMillis).forEach(request -> {
+            suspects.recordCrash(request.fingerprint(), nowMillis);
+            LOG.event("abandoned_request_suspected")
+                    .with("upstream", upstream.key())
+                    .with("fingerprint", Long.toHexString(request.fingerprint()))
+                    .with("after_ms", Math.max(0, nowMillis - request.sinceMillis()))
+                    .info();
+        });
+    }
+
+    private void recordVanished(FleetUpstream upstream, long nowMillis) {
+        if (upstream.draining() || notices.isLeaving(upstream.key())) {
+            abandoned.forget(upstream.key());
+        } else {
+            recordEnded(upstream, nowMillis);
+        }
+    }
+
     /** What upstreams have said about the requests that they want. */
     public UpstreamNotices notices() {
         return notices;
@@ -87,6 +116,7 @@
      */
     public void update(FleetView view, ClockReading verifiedAt, RolloutRecord rollout) {
         boolean hadRead = snapshot.configVerifiedAt().isPresent();
+        List<FleetUpstream> formerUpstreams = snapshot.view().upstreams();
         RequestedWeights.RequestTime firstRead = new RequestedWeights.RequestTime(verifiedAt, hadRead);
         view.newestWeightsVersions()
                 .forEach((model, version) -> requestedWeights.merge(
@@ -96,6 +126,9 @@
         requestedWeights.replaceAll((model, known) -> known.withReported(rollout.requestTimes(model, verifiedAt)));
         snapshot = new FleetSnapshot(view, Optional.of(verifiedAt), rollout.loadedWeights(), requestedWeights);
         Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
+        formerUpstreams.stream()
+                .filter(upstream -> !present.contains(upstream.key()))
+                .forEach(upstream -> recordVanished(upstream, verifiedAt.monotonicMillis()));
         loads.keySet().retainAll(present);
         observedWeights.keySet().retainAll(present);
         replaced.retainAll(present);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/CrashGuard.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/CrashGuard.java
@@ -5,6 +5,7 @@
 import io.agatelane.core.fleet.FleetAccount;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.Prompt;
+import io.agatelane.core.fleet.command.AbandonedRequests;
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.node.api.CallerRequest;
@@ -74,6 +75,17 @@
         }
     }
 
+    /**
+     * Records that the request is given up at an upstream that has not begun to write a response, so that a crash by it
+     * cannot be seen.
+     */
+    void recordAbandoned(UpstreamAttempt attempt) {
+        long nowMillis = context.timers().monotonicMillis();
+        context.state()
+                .abandoned()
+                .record(attempt.upstream().key(), new AbandonedRequests.Abandoned(fingerprint(), nowMillis));
+    }
+
     /** Records that an upstream has responded, which shows that it had not ended before. */
     void recordResponse(FleetUpstream upstream, long sentMillis) {
         context.state().partSuspects().recordResponse(FleetState.keyHash(upstream), sentMillis);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -25,6 +25,7 @@
 import io.agatelane.node.util.EventLog;
 import java.io.EOFException;
 import java.io.IOException;
+import java.net.ConnectException;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -456,6 +457,10 @@
             admission.recordNotRun(context.timers().monotonicMillis());
             ForwardLog.attemptEnded(
                     caller.id(), attempt.number(), attempt.upstream().key(), "not_sent", failure.toString());
+            if (failure instanceof ConnectException) {
+                // No process listens there any more.
+                context.state().recordEnded(attempt.upstream(), context.timers().monotonicMillis());
+            }
             if (failedConnects <= MAX_FAILED_CONNECTS) {
                 dispatch();
             } else {
@@ -509,9 +514,16 @@
         if (done) {
             return;
         }
+        recordAbandoned();
         fail(new AgatelaneException(FailureType.UPSTREAM_TIMEOUT, "the deadline of the request has passed"));
     }
 
+    private void recordAbandoned() {
+        if (current != null && current.mayHaveBeenSent() && relayedBody.totalBytes() == 0) {
+            crashGuard.recordAbandoned(current);
+        }
+    }
+
     private void onCallerNotReading() {
         synchronized (this) {
             ForwardLog.callerNotReading(context, caller.id(), !done);
@@ -527,6 +539,7 @@
         if (done) {
             return;
         }
+        recordAbandoned();
         finish("caller_gone");
         abortCurrent();
         callback.failed(new QuietException.Exception("the caller closed its connection"));
