Repeat reports of engines that ended under a part of a prompt

Callers could see: prompts with a part that ends engines are sent on after the third end, and further engines end.

Cause: an end was reported in one datagram, like crashes by whole requests, and repeated only once the part was refused. It was lost with its datagram or with a relay that had died.

A router now repeats its own ends for 2 s, which outlasts the 700 ms after which the members of a dead relay use another one.

Evidence: allRoutersRefuseAPartAlthoughTheirRelayHasDied failed before: 57 of 58 simulated routers did not refuse the part.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PartSuspects.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PartSuspects.java
@@ -31,6 +31,8 @@
 
     // A datagram may be lost, and a router that has started again knows nothing.
     private static final long REPEAT_MILLIS = 1_000;
+    // The members of a relay that has died send to another one after 700 ms.
+    private static final long OWN_REPEATED_MILLIS = 2_000;
     private static final int MAX_ENDS = 200;
     private static final int MAX_PARTS_OF_END = 100;
     private static final int MAX_CLEARED = 2_000;
@@ -38,6 +40,7 @@
 
     private final Map<Long, EngineEnd> ends = bounded(MAX_ENDS);
     private final Map<Long, Long> clearedMillis = bounded(MAX_CLEARED);
+    private final Map<PartAtEngine, Long> ownSinceMillis = bounded(MAX_REPEATED);
     private final Set<PartAtEngine> unsentEnds = new LinkedHashSet<>();
     private final Set<Long> unsentClearances = new LinkedHashSet<>();
     private long repeatedMillis;
@@ -56,6 +59,7 @@
         for (long part : parts) {
             if (addEnd(part, engine, nowMillis)) {
                 unsentEnds.add(new PartAtEngine(part, engine));
+                ownSinceMillis.put(new PartAtEngine(part, engine), nowMillis);
                 update(nowMillis);
             }
         }
@@ -121,7 +125,10 @@
                 .max();
     }
 
-    /** Removes and returns the reports that are due: new ones, and from time to time those of quarantined parts. */
+    /**
+     * Removes and returns the reports that are due: new ones, those of this router's last ends once more, and from time
+     * to time those of quarantined parts.
+     */
     public synchronized List<PartReport> takeReports(long nowMillis) {
         if (empty) {
             return List.of();
@@ -129,6 +136,8 @@
         update(nowMillis);
         if (nowMillis - repeatedMillis >= REPEAT_MILLIS) {
             repeatedMillis = nowMillis;
+            ownSinceMillis.values().removeIf(millis -> nowMillis - millis > OWN_REPEATED_MILLIS);
+            unsentEnds.addAll(ownSinceMillis.keySet());
             unsentEnds.addAll(endsOfQuarantined());
         }
         List<PartReport> reports = new ArrayList<>();
@@ -205,12 +214,12 @@
                 : RETENTION_MILLIS;
     }
 
-    private static <V> Map<Long, V> bounded(int maxEntries) {
+    private static <K, V> Map<K, V> bounded(int maxEntries) {
         return new LinkedHashMap<>() {
             private static final long serialVersionUID = 1L;
 
             @Override
-            protected boolean removeEldestEntry(Map.Entry<Long, V> eldest) {
+            protected boolean removeEldestEntry(Map.Entry<K, V> eldest) {
                 return size() > maxEntries;
             }
         };
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/CrashReportSpreadTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/CrashReportSpreadTest.java
@@ -18,6 +18,7 @@
 public class CrashReportSpreadTest {
     private static final int ROUTERS = 58;
     private static final long REQUEST = 7;
+    private static final long PART = 8;
     // The time that the users' rule allows after the third crash.
     private static final long ALLOWED_MILLIS = 3_000;
 
@@ -62,6 +63,33 @@
                 List.of());
     }
 
+    // Guards against ends of engines that only a dead relay was told of.
+    @Test
+    public void allRoutersRefuseAPartAlthoughTheirRelayHasDied() {
+        Router dead = cluster.relays().get(0);
+        dead.routerControl.kill();
+        List<Router> members = ofZone(dead.entry.zone()).stream()
+                .filter(router -> router != dead)
+                .toList();
+        for (int engine = 0; engine < CrashSuspects.QUARANTINE_CRASHES; engine++) {
+            long now = cluster.control.monotonicMillis();
+            members.get(engine).state.partSuspects().recordEnd(List.of(PART), engine, now);
+            cluster.control.advance(150);
+        }
+        cluster.control.advance(ALLOWED_MILLIS);
+        long now = cluster.control.monotonicMillis();
+        assertEquals(
+                cluster.routers.stream()
+                        .filter(router -> router != dead
+                                && router.state
+                                        .partSuspects()
+                                        .quarantineMillis(List.of(PART), now)
+                                        .isEmpty())
+                        .map(router -> router.entry.vm())
+                        .toList(),
+                List.of());
+    }
+
     // Guards against routers of one zone that use different relays and count crashes separately.
     @Test(dataProvider = "seeds")
     public void allRoutersRefuseWhileAZoneUsesTwoRelays(long seed) {
