Remember a chat that crashes engines for as long as it comes

Callers could see: a chat that had crashed two engines was run again ten minutes after its last crash, although it had come all the while, and crashed two more (own interface, found by reading).

Cause: the time counted from the last crash, and a refusal did not renew it.

A refusal now renews the time, up to an hour after the last crash so that a harmless chat is run again. Routers that do not see the chat are not told of the renewal.

Evidence: QuarantineTest.requestThatKeepsComingStaysQuarantined; without the renewal the check fails at 600,000 ms.

--- a/agatelane-core/src/main/java/io/agatelane/core/poison/command/CrashRecorder.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/poison/command/CrashRecorder.java
@@ -16,7 +16,10 @@
         synchronized (table) {
             Suspect known = current(fingerprint, nowMillis);
             Suspect next = new Suspect(
-                    known.localCrashes() + 1, known.remoteCrashes(), nowMillis + SuspectTable.QUARANTINE_MILLIS);
+                    known.localCrashes() + 1,
+                    known.remoteCrashes(),
+                    nowMillis,
+                    nowMillis + SuspectTable.QUARANTINE_MILLIS);
             table.suspects().put(fingerprint, next);
             return next;
         }
@@ -36,7 +39,9 @@
             Suspect known = current(fingerprint, nowMillis);
             long expiresMillis = Math.max(
                     known.expiresMillis(), nowMillis + Math.min(remainingMillis, SuspectTable.QUARANTINE_MILLIS));
-            Suspect next = new Suspect(known.localCrashes(), Math.max(known.remoteCrashes(), crashes), expiresMillis);
+            long lastCrashMillis = crashes > known.remoteCrashes() ? nowMillis : known.lastCrashMillis();
+            Suspect next = new Suspect(
+                    known.localCrashes(), Math.max(known.remoteCrashes(), crashes), lastCrashMillis, expiresMillis);
             table.suspects().put(fingerprint, next);
             return crashes < SuspectTable.QUARANTINE_CRASHES
                     && known.crashes() < SuspectTable.QUARANTINE_CRASHES
@@ -44,8 +49,15 @@
         }
     }
 
+    /** Records that a quarantined request came again and was refused. */
+    public void recordRefused(String fingerprint, long nowMillis) {
+        synchronized (table) {
+            table.suspects().computeIfPresent(fingerprint, (key, known) -> known.refused(nowMillis));
+        }
+    }
+
     private Suspect current(String fingerprint, long nowMillis) {
         Suspect known = table.suspects().get(fingerprint);
-        return known == null || known.expiresMillis() <= nowMillis ? new Suspect(0, 0, nowMillis) : known;
+        return known == null || known.expiresMillis() <= nowMillis ? new Suspect(0, 0, nowMillis, nowMillis) : known;
     }
 }
--- a/agatelane-core/src/test/java/io/agatelane/core/poison/QuarantineTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/poison/QuarantineTest.java
@@ -43,4 +43,16 @@
         assertFalse(check.isSuspect("y", SuspectTable.QUARANTINE_MILLIS));
         assertEquals(recorder.recordCrash("y", SuspectTable.QUARANTINE_MILLIS).crashes(), 1);
     }
+
+    // Guards against a request that crashes engines again each ten minutes although it has come all the while.
+    @Test
+    public void requestThatKeepsComingStaysQuarantined() {
+        recorder.recordCrash("z", 0);
+        recorder.recordCrash("z", 0);
+        for (long now = 0; now < SuspectTable.MAX_QUARANTINE_MILLIS; now += 60_000) {
+            assertTrue(check.isQuarantined("z", now), "at " + now);
+            recorder.recordRefused("z", now);
+        }
+        assertFalse(check.isQuarantined("z", SuspectTable.MAX_QUARANTINE_MILLIS));
+    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/Admission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/Admission.java
@@ -54,6 +54,7 @@
     void requireSafeToRun(ChatRequest request, boolean sameRequestRunning, long nowMillis) {
         String fingerprint = request.fingerprint().hex();
         if (quarantine.isQuarantined(fingerprint, nowMillis)) {
+            crashes.recordRefused(fingerprint, nowMillis);
             throw quarantined();
         }
         // Concurrent copies of a suspect request could crash more engines before the second crash is detected.
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/GossipLink.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/GossipLink.java
@@ -162,7 +162,11 @@
         if (mustForward) {
             publish(
                     fingerprint,
-                    new Suspect(SuspectTable.QUARANTINE_CRASHES, 0, nowMillis + quarantine.getRemainingMillis()));
+                    new Suspect(
+                            SuspectTable.QUARANTINE_CRASHES,
+                            0,
+                            nowMillis,
+                            nowMillis + quarantine.getRemainingMillis()));
         }
     }
 
