--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.fleet.RequestedWeights;
 import io.agatelane.core.fleet.ServiceDemand;
 import io.agatelane.core.fleet.UpstreamEstimate;
+import io.agatelane.core.fleet.command.AbandonedRequests;
 import io.agatelane.core.fleet.command.CrashSuspects;
 import io.agatelane.core.fleet.command.PartSuspects;
 import io.agatelane.core.fleet.command.PeerEntries;
@@ -19,12 +20,14 @@
 import io.agatelane.core.fleet.query.Candidate;
 import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.core.limits.AccountDemand;
+import io.agatelane.node.util.EventLog;
 import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 
 /**
@@ -32,6 +35,7 @@
  * by the control thread, read by the threads that serve requests.
  */
 public final class FleetState {
+    private static final EventLog LOG = EventLog.of(FleetState.class);
     // Failures that have decayed below this do not affect the choice of an upstream, so they are not reported.
     private static final double MIN_REPORTED_FAILURES = 0.1;
     private static final double MIN_REPORTED_DEVIATION = 0.1;
@@ -45,8 +49,11 @@
     private final PeerEntries<Long, AccountDemand> peerAccounts = new PeerEntries<>(AccountDemand::plus);
     private final PeerEntries<ServiceDemand.Key, ServiceDemand> peerServices = new PeerEntries<>(ServiceDemand::plus);
     private final PlacementIndex placements = new PlacementIndex();
-    private final CrashSuspects suspects;
+    // A random number for each start: a router that counts from one again is another reporter.
+    private final CrashSuspects suspects =
+            new CrashSuspects(ThreadLocalRandom.current().nextLong());
     private final PartSuspects partSuspects = new PartSuspects();
+    private final AbandonedRequests abandoned = new AbandonedRequests();
     private final UpstreamNotices notices = new UpstreamNotices();
     private final Map<String, UpstreamLoad> loads = new ConcurrentHashMap<>();
     private final Map<String, Map<String, Long>> observedWeights = new ConcurrentHashMap<>();
@@ -58,15 +65,6 @@
     private volatile RolloutHints rolloutHints = RolloutHints.NONE;
     private volatile FleetSnapshot snapshot = new FleetSnapshot(FleetView.EMPTY, Optional.empty(), Map.of(), Map.of());
 
-    /**
-     * Creates an empty state.
-     *
-     * @param vmName name of this router
-     */
-    public FleetState(String vmName) {
-        suspects = new CrashSuspects(Rendezvous.hash(vmName));
-    }
-
     /** Requests that were in flight when upstreams crashed. */
     public CrashSuspects suspects() {
         return suspects;
@@ -77,6 +75,31 @@
         return partSuspects;
     }
 
+    /** Requests that were given up before their upstreams responded. */
+    public AbandonedRequests abandoned() {
+        return abandoned;
+    }
+
+    /** Records that an upstream has ended without notice, maybe by a request that was given up there. */
+    public void recordEnded(FleetUpstream upstream, long nowMillis) {
+        abandoned.takeEnded(upstream.key(), nowMillis).forEach(request -> {
+            suspects.recordCrash(request.fingerprint(), nowMillis);
+            LOG.event("abandoned_request_suspected")
+                    .with("upstream", upstream.key())
+                    .with("fingerprint", Long.toHexString(request.fingerprint()))
+                    .with("after_ms", Math.max(0, nowMillis - request.sinceMillis()))
+                    .info();
+        });
+    }
+
+    private void recordVanished(FleetUpstream upstream, long nowMillis) {
+        if (upstream.draining() || notices.isLeaving(upstream.key())) {
+            abandoned.forget(upstream.key());
+        } else {
+            recordEnded(upstream, nowMillis);
+        }
+    }
+
     /** What upstreams have said about the requests that they want. */
     public UpstreamNotices notices() {
         return notices;
@@ -106,6 +129,7 @@
         // Any version that this read shows first was requested after the content was last verified.
         RequestedWeights.RequestTime firstRead =
                 new RequestedWeights.RequestTime(verifiedAt, snapshot.configVerifiedAt(), afterOutage);
+        List<FleetUpstream> formerUpstreams = snapshot.view().upstreams();
         view.newestWeightsVersions()
                 .forEach((model, version) -> requestedWeights.merge(
                         model,
@@ -115,6 +139,9 @@
                 (model, known) -> known.withReported(requestTimes.of(model, verifiedAt), verifiedAt));
         snapshot = new FleetSnapshot(view, Optional.of(provenAt), rollout.loadedWeights(), requestedWeights);
         Set<String> present = view.upstreams().stream().map(FleetUpstream::key).collect(Collectors.toSet());
+        formerUpstreams.stream()
+                .filter(upstream -> !present.contains(upstream.key()))
+                .forEach(upstream -> recordVanished(upstream, verifiedAt.monotonicMillis()));
         loads.keySet().retainAll(present);
         observedWeights.keySet().retainAll(present);
         replaced.retainAll(present);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -156,10 +156,7 @@
         DigestContent own = new DigestContent(
                 state.reportedLoads(nowMillis),
                 0,
-                new DigestEvents(
-                        state.placements().takeUnsent(),
-                        state.suspects().takeUnsent(),
-                        state.partSuspects().takeReports(nowMillis)),
+                ownEvents(nowMillis),
                 state.rolloutHints(),
                 demands.accounts(nowMillis),
                 demands.services(nowMillis));
@@ -179,11 +176,23 @@
         if (relays.isRelay()) {
             forward(members, own);
         } else if (!members.isEmpty()) {
-            // This router reports to another relay, so its own loads must not be forwarded from here as well.
-            forward(members, DigestContent.empty());
+            // This router reports to another relay, so its own loads must not be forwarded from here as well. What it
+            // repeats is all that its members get to know of the crashes which the other relay was told of.
+            forward(members, DigestContent.empty().withEvents(own.events().repeatable(), RolloutHints.NONE));
         }
     }
 
+    // Reports stay until there is another router to send them to.
+    private DigestEvents ownEvents(long nowMillis) {
+        if (registry.others().isEmpty()) {
+            return DigestEvents.NONE;
+        }
+        return new DigestEvents(
+                state.placements().takeUnsent(),
+                state.suspects().takeReports(nowMillis),
+                state.partSuspects().takeReports(nowMillis));
+    }
+
     private void recordRelay(RouterEntry relay) {
         if (relayName.equals(Optional.of(relay.vm()))) {
             return;
@@ -309,6 +318,8 @@
         DigestEvents events = DigestCodec.events(digest);
         RolloutHints hints = DigestCodec.hints(digest);
         poller.recordPeerConfig(digest.getStore().getConfigVersion());
+        events.crashes().forEach(report -> state.suspects().mergeReport(report, nowMillis));
+        events.partReports().forEach(report -> state.partSuspects().merge(report, nowMillis));
         switch (digest.getKind()) {
             case DIGEST_KIND_DIRECT -> update(digest, Source.ROUTER);
             case DIGEST_KIND_TO_RELAY -> {
@@ -318,7 +329,10 @@
                 outbox.receivedFromMember(digest.getVm(), member, events, hints);
             }
             case DIGEST_KIND_BETWEEN_RELAYS -> {
-                update(digest, Source.RELAY);
+                // Otherwise the relay of this router reports the same loads.
+                if (relays.isRelay() || isDirect()) {
+                    update(digest, Source.RELAY);
+                }
                 outbox.receivedFromRelay(digest.getVm(), events, hints, nowMillis);
                 registry.others().stream()
                         .filter(other -> other.vm().equals(digest.getVm()))
@@ -326,7 +340,7 @@
             }
             case DIGEST_KIND_FROM_RELAY -> {
                 if (!relays.receivedFrom(digest.getVm(), nowMillis)) {
-                    // A former relay of this router; the current one sends the same content.
+                    // A former relay of this router; the current one sends the same loads.
                     return;
                 }
                 // Only the first datagram of a digest has this field.
@@ -349,8 +363,6 @@
         }
         state.applyHints(hints, nowMillis);
         events.placements().stream().filter(sentDigests::isForeign).forEach(state.placements()::recordFromPeer);
-        events.crashes().forEach(report -> state.suspects().mergeReport(report, nowMillis));
-        events.partReports().forEach(report -> state.partSuspects().merge(report, nowMillis));
     }
 
     private void update(LoadDigest digest, Source source) {
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StoreEraTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StoreEraTest.java
@@ -48,7 +48,7 @@
     public void start() {
         metrics = new MetricRegistry();
         control = new FakeControl();
-        state = new FleetState("vm-1");
+        state = new FleetState();
         poller = new StorePoller(this, state, control, control, new Random(1), POLL_MILLIS, metrics);
         era = 3;
         routerEntries = List.of();
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -18,7 +18,7 @@
     public void failureToApplyAReadDoesNotEndThePolling() {
         FakeControl control = new FakeControl();
         FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
-        FleetState state = new FleetState("vm-1");
+        FleetState state = new FleetState();
         StorePoller poller =
                 new StorePoller(fleet, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry());
         boolean[] failed = new boolean[1];
@@ -41,7 +41,7 @@
     public void rejectedReadsAreRepeatedLessAndLessOften() {
         FakeControl control = new FakeControl();
         FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
-        FleetState state = new FleetState("vm-1");
+        FleetState state = new FleetState();
         new StorePoller(fleet, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry()).start();
         control.advance(5_000);
         fleet.setStoreDown(true);
@@ -62,7 +62,7 @@
         FakeControl control = new FakeControl();
         FakeRouterControl router = new FakeRouterControl(control);
         FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
-        FleetState state = new FleetState("vm-1");
+        FleetState state = new FleetState();
         StorePoller poller =
                 new StorePoller(fleet, state, router, router, new Random(1), POLL_MILLIS, new MetricRegistry());
         poller.start();
@@ -91,7 +91,7 @@
         for (long outageMillis = 8_000; outageMillis <= 9_400; outageMillis += 100) {
             FakeControl control = new FakeControl();
             FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 2);
-            FleetState state = new FleetState("vm-1");
+            FleetState state = new FleetState();
             new StorePoller(fleet, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry()).start();
             control.advance(2_000);
             fleet.setStoreDown(true);
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsReadGapTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsReadGapTest.java
@@ -65,7 +65,7 @@
         control = new FakeControl();
         router = new FakeRouterControl(control);
         fleet = new FakeFleet(control, new FakeKeyValueStore(control), 2);
-        state = new FleetState("vm-1");
+        state = new FleetState();
         new StorePoller(fleet, state, router, router, new Random(1), POLL_MILLIS, new MetricRegistry()).start();
         control.advance(2_000);
     }
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/WeightsRolloutTest.java
@@ -511,7 +511,7 @@
     private Router router(int number) {
         FakeRouterControl routerControl = new FakeRouterControl(control);
         MetricRegistry metrics = new MetricRegistry();
-        FleetState state = new FleetState("vm-" + number);
+        FleetState state = new FleetState();
         Random random = new Random(number);
         StorePoller poller =
                 new StorePoller(storeFrom(number), state, routerControl, routerControl, random, POLL_MILLIS, metrics);
