Answer what was passed on before a planned stop ends, and refuse what it cannot finish

What callers saw: in a planned stop, requests that were still at an upstream one second before the end of the grace period were cut with no status line, also ones that must not be repeated. Requests that came up to 2.8 s after SIGTERM were passed on whatever their kind usually takes, and a request whose body had not arrived was held until the process ended.

Cause: the stop waited until nothing was in flight or time was out, and then let the process exit with requests open. Nothing told the requests when the process ends, so none was refused for lack of time, and upstreams were given the caller's whole deadline.

Evidence: PlannedStopTest stops a real process while 16 callers use their connections until it is gone, two of them with two requests at once; a reload and a second SIGTERM come meanwhile.

The stop now sets the time of the last responses. A request that no upstream has got is refused with 503 and a time to come back when the high quantile of its route's durations, or the cost of the chosen upstream, does not fit before it; the same holds for requests that wait for room and are admitted during the stop. Upstreams are given no more than the time left. When that time has come, a request that may have run gets 504, one that was not passed on 503, and a stream that has begun is broken off so that it cannot look complete; the process then exits within the reserved part of the grace period, which is an eighth of it where that is less than one second.

--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/ChildProcess.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/ChildProcess.java
@@ -24,6 +24,7 @@
     enum Signal {
         STOP,
         CONT,
+        HUP,
         TERM,
         KILL
     }
@@ -106,12 +107,18 @@
         return process.isAlive();
     }
 
-    /** Waits until the process has ended and its whole output was read. */
-    void awaitEnd() throws InterruptedException {
+    /** Waits until the process has ended and its whole output was read; returns its exit code. */
+    int awaitEnd() throws InterruptedException {
         if (!process.waitFor(WAIT_SECONDS, TimeUnit.SECONDS)) {
             throw new AssertionError("the process " + process.pid() + " does not end");
         }
         reader.join();
+        return process.exitValue();
+    }
+
+    /** Waits for the end of the process for some time; returns whether it has ended. */
+    boolean awaitEnd(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakFleet.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakFleet.java
@@ -17,6 +17,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
 /** The processes of a soak: a store, upstreams and routers, with a proxy in front of whatever a router connects to. */
@@ -26,6 +27,9 @@
 
     private static final int ADDRESSES_PER_ROUTER = 4;
     private static final int ROUTE_TIMEOUT_MILLIS = 2_500;
+    /** Time between SIGTERM and SIGKILL. */
+    static final int GRACE_SECONDS = 6;
+
     private static final String RUN = "run ";
     private static final String DONE = "done";
 
@@ -36,6 +40,7 @@
     private final Map<String, Integer> runs = new ConcurrentHashMap<>();
     private final List<Router> routers = new ArrayList<>();
     private final List<Upstream> upstreams = new ArrayList<>();
+    private final int routeTimeoutMillis;
     private int upstreamCount;
 
     /** A router, its proxy to the store, and the process that runs it at the moment. */
@@ -76,7 +81,12 @@
     record Upstream(String id, ChildProcess process, FaultProxy proxy) {}
 
     SoakFleet(Path directory) throws Exception {
+        this(directory, ROUTE_TIMEOUT_MILLIS);
+    }
+
+    SoakFleet(Path directory, int routeTimeoutMillis) throws Exception {
         this.directory = directory;
+        this.routeTimeoutMillis = routeTimeoutMillis;
         store = new ChildProcess(StoreProcess.class, List.of(), this::storeOutput, log("store"));
         storeAddress = parse(store.awaitReady());
     }
@@ -94,7 +104,7 @@
                   "vm": {"name": "%s", "availabilityZone": "z"},
                   "listen": {"callerAddress": "%s", "readinessAddress": "%s", "metricsAddress": "%s", "peerAddress": "%s"},
                   "store": {"address": "%s", "timeoutMillis": 500, "pollMillis": 200},
-                  "bounds": {"revocationSeconds": %s, "graceSeconds": 6, "leaseSeconds": 2,
+                  "bounds": {"revocationSeconds": %s, "graceSeconds": %s, "leaseSeconds": 2,
                     "retryRatio": 0.2, "retrySlack": 400, "retryWindowSeconds": 10},
                 }
                 """
@@ -105,7 +115,8 @@
                                 format(addresses.get(2)),
                                 format(addresses.get(3)),
                                 proxy.address(),
-                                REVOCATION_MILLIS / 1_000.0));
+                                REVOCATION_MILLIS / 1_000.0,
+                                GRACE_SECONDS));
         Router router = new Router(name, addresses.get(0), settings, proxy);
         routers.add(router);
         start(router);
@@ -130,7 +141,22 @@
         router.process.awaitEnd();
     }
 
-    void signal(Router router, Signal signal) throws Exception {
+    /** Ends a router's process if it has not ended within the grace period; returns its exit code. */
+    int endAfterGrace(Router router) throws Exception {
+        if (!router.process.awaitEnd(TimeUnit.SECONDS.toMillis(GRACE_SECONDS))) {
+            router.process.send(Signal.KILL);
+        }
+        return router.process.awaitEnd();
+    }
+
+    /** Changes a bound of a router's settings file, which it reads again at SIGHUP. */
+    void changeSettings(Router router) throws IOException {
+        Files.writeString(
+                router.settings,
+                Files.readString(router.settings).replace("\"retrySlack\": 400", "\"retrySlack\": 300"));
+    }
+
+    void signal(Router router, Signal signal) throws IOException, InterruptedException {
         router.process.send(signal);
     }
 
@@ -173,9 +199,9 @@
                 onWritten);
     }
 
-    private static String route(String name, String kind, int attempts, boolean resumable) {
+    private String route(String name, String kind, int attempts, boolean resumable) {
         return "{\"name\":\"" + name + "\",\"host\":\"h.example\",\"pathPrefix\":\"/" + name + "/\",\"kind\":\"" + kind
-                + "\",\"timeoutMs\":" + ROUTE_TIMEOUT_MILLIS
+                + "\",\"timeoutMs\":" + routeTimeoutMillis
                 + ",\"targetLatencyMs\":200,\"priority\":0,\"service\":\"x\",\"attempts\":" + attempts
                 + ",\"public\":false,\"resumable\":" + resumable + "}";
     }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/ServiceTimes.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/ServiceTimes.java
@@ -5,6 +5,7 @@
     private static final double DECAY = 0.99;
     // Observations that the assumed duration counts for.
     private static final double INITIAL_WEIGHT = 5;
+    private static final double HIGH_QUANTILE = 0.95;
 
     // Keeps durations of a tenth of a millisecond within the range of the histogram.
     private static final double SCALE = 10;
@@ -25,6 +26,11 @@
         scaled.record(millis * SCALE, 1);
     }
 
+    /** Returns a duration that nineteen of twenty did not exceed. */
+    public synchronized double highMillis() {
+        return scaled.quantile(HIGH_QUANTILE) / SCALE;
+    }
+
     /** Returns the median duration. */
     public synchronized double millis() {
         return scaled.quantile(0.5) / SCALE;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -37,9 +37,14 @@
     private static final long LAST_REQUEST_MILLIS = 2_800;
     // Time for one response of the store.
     private static final long HAND_OVER_TIMEOUT_MILLIS = 250;
-    // Part of the grace period that is reserved for the exit of the process.
-    private static final long EXIT_MILLIS = 1_000;
+    // Part of the grace period, at its end, in which the last final responses are written and the process exits. A
+    // request whose upstream still works in the last sixth of the grace period may be given up.
+    private static final long MAX_EXIT_MILLIS = 1_000;
+    private static final double MAX_EXIT_SHARE = 0.125;
+    // Time to write the last final responses; a caller that does not read cannot delay the exit for longer.
+    private static final long LAST_WRITE_MILLIS = 250;
     private static final long DRAIN_CHECK_MILLIS = 50;
+    private static final long LAST_WRITE_CHECK_MILLIS = 10;
     // Covers the delay of a packet or of a response of the store, and the timer of the router that reads it.
     private static final long ANNOUNCE_MARGIN_MILLIS = 150;
 
@@ -196,12 +201,17 @@
                 .with("vm", settings.vmName())
                 .with("in_flight", forward.inFlight())
                 .info();
+        long lastAnswerMillis = startedMillis + settings.graceMillis() - exitMillis();
+        context.shutdown().begin(lastAnswerMillis);
         draining = true;
-        context.drain();
+        int unanswered = 0;
         try {
-            while (!isDrained(control.monotonicMillis() - startedMillis)) {
+            while (control.monotonicMillis() < lastAnswerMillis
+                    && !isDrained(control.monotonicMillis() - startedMillis)) {
                 TimeUnit.MILLISECONDS.sleep(DRAIN_CHECK_MILLIS);
             }
+            unanswered = forward.inFlight();
+            endRequests(lastAnswerMillis + LAST_WRITE_MILLIS);
             rollout.stop().get(HAND_OVER_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             LOG.event("rollout_duty_not_handed_over")
@@ -214,18 +224,32 @@
         poller.close();
         LOG.event("stopped")
                 .with("vm", settings.vmName())
+                .with("unanswered", unanswered)
                 .with("in_flight", forward.inFlight())
                 .with("after_ms", control.monotonicMillis() - startedMillis)
                 .info();
         closed.countDown();
     }
 
+    private long exitMillis() {
+        return Math.min(MAX_EXIT_MILLIS, Math.round(settings.graceMillis() * MAX_EXIT_SHARE));
+    }
+
     private boolean isDrained(long elapsedMillis) {
         if (elapsedMillis > LAST_REQUEST_MILLIS) {
-            context.refuse();
+            context.shutdown().refuse();
+            forward.refuseUnstarted();
+        }
+        return elapsedMillis > OUT_OF_ROTATION_MILLIS && forward.inFlight() == 0;
+    }
+
+    // A request that was passed on never ends without a final response, even if its upstream has not answered.
+    private void endRequests(long untilMillis) throws InterruptedException {
+        context.shutdown().refuse();
+        while (forward.inFlight() > 0 && control.monotonicMillis() < untilMillis) {
+            forward.endAll();
+            TimeUnit.MILLISECONDS.sleep(LAST_WRITE_CHECK_MILLIS);
         }
-        boolean outOfTime = elapsedMillis > settings.graceMillis() - EXIT_MILLIS;
-        return outOfTime || (elapsedMillis > OUT_OF_ROTATION_MILLIS && forward.inFlight() == 0);
     }
 
     /** Whether this router has left the load balancer's rotation. */
@@ -235,7 +259,7 @@
 
     /** Whether new requests are refused. */
     public boolean isRefusing() {
-        return context.isRefusing();
+        return context.shutdown().isRefusing();
     }
 
     /** Stops at once, without waiting for requests in flight. */
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
@@ -7,10 +7,14 @@
 import io.agatelane.core.limits.RateDecision;
 import io.agatelane.core.limits.command.AccountRateLimiter.LimitedRequest;
 import io.agatelane.node.api.CallerRequest;
+import io.agatelane.node.fleet.FleetSnapshot;
 import java.util.Optional;
 
-/** Applies the rate limit of its account to one request. Does nothing for a request without one. */
+/** Checks the API key of one request and applies the rate limit of its account. Does nothing for a request without one. */
 final class AccountAdmission {
+    // The next read of the store verifies the configuration again.
+    private static final long STALE_CONFIG_RETRY_MILLIS = 500;
+
     private final ForwardContext context;
     private final String requestId;
     private final Optional<FleetAccount> account;
@@ -25,6 +29,28 @@
                 .arrive(account.get().nameHash(), limit, limit.units(caller.totalTokens()), nowMillis));
     }
 
+    /**
+     * Checks that the account's API key may still be used.
+     *
+     * @throws AgatelaneException with {@code PLATFORM_UNAVAILABLE} when the configuration is too old to know
+     */
+    void checkConfigAge(FleetSnapshot snapshot) {
+        if (account.isEmpty()) {
+            return;
+        }
+        long age = snapshot.configVerifiedAt()
+                .map(verifiedAt -> verifiedAt.ageMillis(
+                        context.timers().monotonicMillis(), context.timers().epochMillis()))
+                .orElse(Long.MAX_VALUE);
+        if (age > context.settings().maxConfigAgeMillis()) {
+            throw new AgatelaneException(
+                            FailureType.PLATFORM_UNAVAILABLE,
+                            "the API key cannot be checked: the configuration was last verified as current " + age
+                                    + " ms ago")
+                    .withRetryAfterMillis(STALE_CONFIG_RETRY_MILLIS);
+        }
+    }
+
     /**
      * Checks a request that has not been sent yet.
      *
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -51,8 +51,6 @@
     private static final int MAX_FAILED_CONNECTS = 3;
     // Shortest time that is worth an attempt: a round trip between zones and the fastest response.
     private static final long MIN_ATTEMPT_MILLIS = 15;
-    // The next read of the store verifies the configuration again.
-    private static final long STALE_CONFIG_RETRY_MILLIS = 500;
     // Longest wait for room at an engine, as a share of the latency objective; the rest is for the prefill.
     private static final double MAX_WAIT_SHARE = 0.7;
 
@@ -152,12 +150,13 @@
     private void dispatch() {
         try {
             long now = context.timers().monotonicMillis();
-            long leftMillis = deadlineMillis - now;
+            long leftMillis = context.shutdown().limit(deadlineMillis) - now;
+            checkShutdown(cost.highWholeMillis(), now);
             if (leftMillis < MIN_ATTEMPT_MILLIS) {
                 throw new AgatelaneException(FailureType.OVERLOADED, "the deadline leaves no time for another attempt");
             }
             FleetSnapshot snapshot = context.state().snapshot();
-            checkConfigAge(snapshot);
+            admission.checkConfigAge(snapshot);
             crashGuard.check(now);
             admission.check(now);
             Set<String> excluded = UpstreamRoom.excluded(context, snapshot, service, caller.id(), tried, body.length);
@@ -172,6 +171,7 @@
                 context.waiting(service).recordAdmission(now);
             }
             prefixLocator = selected.get().prefixLocator();
+            checkShutdown(selected.get().choice().expectedMillis() + cost.outputMillis(prefixLocator.isPresent()), now);
             startAttempt(snapshot, selected.get().choice(), leftMillis);
         } catch (AgatelaneException e) {
             fail(mayHaveRun ? e.withExecuted(Executed.UNKNOWN) : e);
@@ -181,6 +181,35 @@
         }
     }
 
+    private void checkShutdown(double expectedMillis, long now) {
+        if (!mayHaveRun) {
+            context.shutdown().check(expectedMillis, now);
+        }
+    }
+
+    /** Refuses the request if it waits for an upstream that could not answer before the process ends. */
+    synchronized void refuseIfLate() {
+        if (!done && isWaiting && !mayHaveRun) {
+            try {
+                checkShutdown(cost.highWholeMillis(), context.timers().monotonicMillis());
+            } catch (AgatelaneException e) {
+                fail(e);
+            }
+        }
+    }
+
+    /** Gives the request its final response, because the process ends. */
+    synchronized void end() {
+        if (!done) {
+            boolean mayRun = mayHaveRun || (current != null && !isWaiting);
+            fail(
+                    mayRun
+                            ? new AgatelaneException(
+                                    FailureType.UPSTREAM_TIMEOUT, "the router ends before the upstream has answered")
+                            : Shutdown.refusal());
+        }
+    }
+
     // A request waits only while a response within the objective is still possible.
     private void awaitRoom(long now) {
         if (isWaiting) {
@@ -238,23 +267,6 @@
         context.waiting(service).remove(this);
     }
 
-    private void checkConfigAge(FleetSnapshot snapshot) {
-        if (account.isEmpty()) {
-            return;
-        }
-        long age = snapshot.configVerifiedAt()
-                .map(verifiedAt -> verifiedAt.ageMillis(
-                        context.timers().monotonicMillis(), context.timers().epochMillis()))
-                .orElse(Long.MAX_VALUE);
-        if (age > context.settings().maxConfigAgeMillis()) {
-            throw new AgatelaneException(
-                            FailureType.PLATFORM_UNAVAILABLE,
-                            "the API key cannot be checked: the configuration was last verified as current " + age
-                                    + " ms ago")
-                    .withRetryAfterMillis(STALE_CONFIG_RETRY_MILLIS);
-        }
-    }
-
     private void startAttempt(FleetSnapshot snapshot, UpstreamChoice choice, long leftMillis) {
         String key = choice.candidate().upstream().key();
         HttpFields.Mutable headers = HttpFields.build();
@@ -433,6 +445,7 @@
             return;
         }
         attempts++;
+        cost.recordWhole(attempt, context.timers().monotonicMillis());
         crashGuard.recordComplete(
                 status < HttpStatus.INTERNAL_SERVER_ERROR_500,
                 prefixLocator.isPresent() && HttpStatus.isSuccess(status));
@@ -509,6 +522,9 @@
         if (done) {
             return;
         }
+        if (current != null) {
+            cost.recordWhole(current, context.timers().monotonicMillis());
+        }
         fail(new AgatelaneException(FailureType.UPSTREAM_TIMEOUT, "the deadline of the request has passed"));
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -64,8 +64,8 @@
     private final Map<String, ServiceAdmission> admissions = new ConcurrentHashMap<>();
     private final Map<String, EngineAdmission> engineAdmissions = new ConcurrentHashMap<>();
     private final PeerDemands peerDemands;
-    private volatile boolean draining;
-    private volatile boolean refusing;
+    private final Map<String, ServiceTimes> wholeTimes = new ConcurrentHashMap<>();
+    private final Shutdown shutdown = new Shutdown();
 
     /** Creates the shared state of a router. */
     public ForwardContext(
@@ -238,6 +238,11 @@
         return eventTimes.computeIfAbsent(service, name -> new ServiceTimes(ASSUMED_EVENT_MILLIS));
     }
 
+    /** Time from sending a request of a route to an upstream until its response has ended. */
+    ServiceTimes wholeTimes(Route route) {
+        return wholeTimes.computeIfAbsent(route.name(), name -> new ServiceTimes(ASSUMED_CALL_MILLIS));
+    }
+
     /** Expected length of outputs. */
     OutputTokens outputTokens() {
         return outputTokens;
@@ -253,23 +258,8 @@
                         settings.retryWindowMillis()));
     }
 
-    /** Whether the process is shutting down: responses then close their connections. */
-    boolean isDraining() {
-        return draining;
-    }
-
-    /** Whether new requests are refused because the process ends before many of them could be finished. */
-    public boolean isRefusing() {
-        return refusing;
-    }
-
-    /** Refuses new requests from now on. */
-    public void refuse() {
-        refusing = true;
-    }
-
-    /** Begins the shutdown. */
-    public void drain() {
-        draining = true;
+    /** The stop of this router. */
+    public Shutdown shutdown() {
+        return shutdown;
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
@@ -11,8 +11,9 @@
 import io.agatelane.node.fleet.FleetSnapshot;
 import io.agatelane.node.io.http.RequestDiscarder;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.ConcurrentHashMap;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.Request;
@@ -26,9 +27,6 @@
     private static final int DEFAULT_BODY_BYTES = 4 << 20;
     // A router without a configuration reads the store several times a second.
     private static final long NO_CONFIG_RETRY_MILLIS = 300;
-    // The caller's next connection goes to another router, so it may retry at once.
-    private static final long SHUTDOWN_RETRY_MILLIS = 10;
-
     // Time for a caller to send the rest of a body that was refused.
     private static final long MAX_DISCARD_MILLIS = 5_000;
     // Time for a body whose request states no deadline.
@@ -36,7 +34,7 @@
 
     private final ForwardContext context;
     private final HeldBodies bodies;
-    private final AtomicInteger inFlight = new AtomicInteger();
+    private final Set<UnfinishedRequest> unfinished = ConcurrentHashMap.newKeySet();
 
     public ForwardHandler(ForwardContext context) {
         this.context = context;
@@ -46,28 +44,44 @@
 
     /** Number of requests that have no complete response yet. */
     public int inFlight() {
-        return inFlight.get();
+        return unfinished.size();
+    }
+
+    /** Refuses the requests that no upstream has got and that cannot be finished before the process ends. */
+    public void refuseUnstarted() {
+        unfinished.forEach(UnfinishedRequest::refuseUnlessStarted);
+    }
+
+    /** Gives all requests their final response, because the process ends. */
+    public void endAll() {
+        unfinished.forEach(UnfinishedRequest::end);
     }
 
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
         long arrivedMillis = context.timers().monotonicMillis();
-        inFlight.incrementAndGet();
+        UnfinishedRequest entry = new UnfinishedRequest();
+        unfinished.add(entry);
         ByteBudget.Reservation reservation = bodies.open();
         Callback counted = Callback.from(callback, () -> {
-            inFlight.decrementAndGet();
+            unfinished.remove(entry);
             bodies.release(reservation);
         });
+        if (context.shutdown().isRefusing()) {
+            refuse(request, response, discarding(request, counted), Shutdown.refusal());
+            return true;
+        }
         int maxBytes = context.state()
                 .snapshot()
                 .config()
                 .map(config -> config.limits().bodyBytes())
                 .orElse(DEFAULT_BODY_BYTES);
         CompletableFuture<byte[]> received = bodies.read(request, maxBytes, reservation);
+        entry.receives(received);
         limitTime(received, request);
         var unused = received.handle((body, thrown) -> {
             if (thrown == null) {
-                begin(request, response, counted, body, arrivedMillis);
+                begin(request, response, counted, body, arrivedMillis, entry);
             } else {
                 refuse(request, response, counted, readFailure(thrown));
             }
@@ -108,11 +122,16 @@
         }
     }
 
-    private void begin(Request request, Response response, Callback callback, byte[] body, long arrivedMillis) {
+    private void begin(
+            Request request,
+            Response response,
+            Callback callback,
+            byte[] body,
+            long arrivedMillis,
+            UnfinishedRequest entry) {
         try {
-            if (context.isRefusing()) {
-                throw new AgatelaneException(FailureType.SHUTTING_DOWN, "this router is shutting down")
-                        .withRetryAfterMillis(SHUTDOWN_RETRY_MILLIS);
+            if (context.shutdown().isRefusing()) {
+                throw Shutdown.refusal();
             }
             CallerRequest caller = context.ports().callerProtocol().decode(request.getHeaders());
             FleetSnapshot snapshot = context.state().snapshot();
@@ -121,7 +140,10 @@
                     .withRetryAfterMillis(NO_CONFIG_RETRY_MILLIS));
             Route route = route(config, request);
             Optional<FleetAccount> account = account(config, route, caller);
-            new ForwardCall(context, request, response, callback, caller, route, account, body, arrivedMillis).start();
+            ForwardCall call =
+                    new ForwardCall(context, request, response, callback, caller, route, account, body, arrivedMillis);
+            call.start();
+            entry.isForwardedBy(call);
         } catch (RuntimeException | OutOfMemoryError e) {
             refuse(request, response, callback, AgatelaneException.from(e));
         }
@@ -144,15 +166,19 @@
         return account;
     }
 
-    // The rest of a body that is not taken is discarded, so that the caller gets the response before the close.
     private Callback afterBody(Request request, Callback callback, AgatelaneException failure) {
         return failure.type() == FailureType.BODY_TOO_LARGE || failure.type() == FailureType.NO_MEMORY
-                ? Callback.from(
-                        () -> RequestDiscarder.discard(request, context.timers(), MAX_DISCARD_MILLIS, callback),
-                        callback::failed)
+                ? discarding(request, callback)
                 : callback;
     }
 
+    // The rest of a body that is not taken is discarded, so that the caller gets the response before the close.
+    private Callback discarding(Request request, Callback callback) {
+        return Callback.from(
+                () -> RequestDiscarder.discard(request, context.timers(), MAX_DISCARD_MILLIS, callback),
+                callback::failed);
+    }
+
     private void refuse(Request request, Response response, Callback callback, AgatelaneException failure) {
         String id =
                 context.ports().callerProtocol().requestId(request.getHeaders()).orElse(UNKNOWN_ID);
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RequestCost.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RequestCost.java
@@ -48,6 +48,16 @@
                 : context.callTimes(service).millis();
     }
 
+    /** Returns a time within which a request of this kind has probably ended, from sending it on. */
+    double highWholeMillis() {
+        return context.wholeTimes(route).highMillis();
+    }
+
+    /** Learns from the end of a response, or of the time that was allowed for it. */
+    void recordWhole(UpstreamAttempt attempt, long now) {
+        context.wholeTimes(route).record(now - attempt.startedMillis());
+    }
+
     /** Learns from the start of a response that is no failure. */
     void recordResponse(UpstreamAttempt attempt, Optional<PrefixLocator> prefixLocator, long now) {
         responseStartedMillis = now;
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RouterResponses.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RouterResponses.java
@@ -45,7 +45,7 @@
 
     /** Closes the caller's connection after this response when the router is shutting down. */
     static void closeWhenDraining(ForwardContext context, Response response) {
-        if (context.isDraining()) {
+        if (context.shutdown().hasBegun()) {
             response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE);
         }
     }
