Limit the number of fields of a response

What callers could see: many responses with short header or trailer lines at once fill the heap of a router. Requests of other callers then get 503 and 504, because the router cannot verify its configuration or connect in time.

Cause: a head is limited to 32 KB, but a field of four bytes takes more than a hundred bytes of memory once it is parsed, so that one head may take about 1 MB for as long as it lasts. Trailers are collected in the same way and no listener sees them before the response ends.

Evidence: HeldMemoryTest starts a router process with the deployed heap and holds 400 such responses open. A single such response was read on until its route's timeout (EndlessResponseTest.responseWithManyFieldsIsEndedAtOnce); now it fails at once. An event without end and a body that its caller does not read passed before and after.

The transport of the HTTP clients counts the fields of a response, header and trailer together, and fails the response after 256.

--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/ChildProcess.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/ChildProcess.java
@@ -8,6 +8,7 @@
 import java.io.OutputStreamWriter;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -43,7 +44,7 @@
     ChildProcess(Class<?> program, List<String> arguments, Consumer<String> onLine, Path log) throws IOException {
         List<String> command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Xmx96m",
+                "-Xmx126m",
                 "-Xss256k",
                 "-XX:+UseSerialGC",
                 "-XX:TieredStopAtLevel=1",
@@ -103,6 +104,15 @@
                 .waitFor();
     }
 
+    /** Largest resident memory up to now, in KB. */
+    long peakMemoryKilobytes() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+                .filter(line -> line.startsWith("VmHWM"))
+                .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")))
+                .findFirst()
+                .orElseThrow();
+    }
+
     boolean isAlive() {
         return process.isAlive();
     }
--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakFleet.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/SoakFleet.java
@@ -71,6 +71,15 @@
             return storeProxy;
         }
 
+        boolean isRunning() {
+            return process.isAlive();
+        }
+
+        /** Largest memory that the process has used, in KB. */
+        long peakMemoryKilobytes() throws IOException {
+            return process.peakMemoryKilobytes();
+        }
+
         /** How often the process was killed; a request whose router was killed need not have a response. */
         int kills() {
             return kills;
@@ -167,12 +176,17 @@
         FaultProxy proxy = new FaultProxy(parse(process.awaitReady()));
         Upstream upstream = new Upstream(id, process, proxy);
         upstreams.add(upstream);
+        addEntry(id, proxy.address());
+        return upstream;
+    }
+
+    /** Adds the entry of an upstream. */
+    void addEntry(String id, String address) {
         writeStore(
-                "put servers/" + id + " {\"service\":\"x\",\"address\":\"" + proxy.address()
+                "put servers/" + id + " {\"service\":\"x\",\"address\":\"" + address
                         + "\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,"
                         + "\"sequence\":1,\"born\":" + upstreamCount + "}",
                 () -> {});
-        return upstream;
     }
 
     /** Kills an upstream and removes its entry. */
@@ -194,7 +208,7 @@
                 "put op/config {\"version\":" + version + ",\"routes\":["
                         + route("once", "unsafe", 1, false) + ',' + route("again", "safe", 2, false) + ','
                         + route("stream", "streaming", 2, true) + ',' + route("only-" + version, "safe", 2, false)
-                        + "],\"services\":[{\"name\":\"x\",\"connectionLimit\":100}],\"limits\":{\"bodyBytes\":1000},"
+                        + "],\"services\":[{\"name\":\"x\",\"connectionLimit\":100}],\"limits\":{\"bodyBytes\":4194304},"
                         + "\"tenants\":[{\"name\":\"t\",\"apiKeys\":[" + quoted + "]}]}",
                 onWritten);
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
@@ -2,12 +2,12 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.node.io.http.BoundedHeadTransport;
 import io.agatelane.node.io.http.ReadCredit;
 import io.agatelane.node.io.http.ResetAwareConnector;
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
@@ -71,7 +71,7 @@
         connector.setSelectors(1);
         connector.setExecutor(executor);
         connector.setScheduler(scheduler);
-        HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+        HttpClient client = new HttpClient(new BoundedHeadTransport(connector));
         client.setExecutor(executor);
         client.setScheduler(scheduler);
         // With the client's pool, two connections now and then shared one buffer while one of them was being closed. A
