Take SIGHUP from the start of the process

What operators could see: a router whose settings change while it starts ends by itself, because a JVM ends at SIGHUP until the program handles it, and the handler was installed only after the router had started. A signal that came between the read of the settings and that moment, had it been survived, would have been lost.

Evidence: HangupSignalTest; the former class could not take a signal before its action was known.

The handler is installed before the settings are read. A signal that comes before the reloader exists is remembered and reloads the settings once.

--- a/agatelane-cli/src/main/java/io/agatelane/cli/FleetProcess.java
+++ b/agatelane-cli/src/main/java/io/agatelane/cli/FleetProcess.java
@@ -21,12 +21,13 @@
 
     /** Starts a router and returns when it has stopped. */
     static void run(Path file) {
+        HangupSignal hangup = HangupSignal.install();
         FleetSettings settings = FleetSettingsReader.read(file);
         BoundedLogHandler log = configureLogging();
         FleetNode node = FleetNode.start(settings, new UserPlatform());
         SettingsReloader reloader = new SettingsReloader(file, settings, node::apply);
         reloader.start(node.timers());
-        HangupSignal.onSignal(() -> reloader.reload("signal"));
+        hangup.onSignal(() -> reloader.reload("signal"));
         Thread shutdown = new Thread(
                 () -> {
                     node.shutDownGracefully();
