Bound what the own interface reads of a response that does not end

What callers could see: an engine or service that sends a head, a chunk extension, trailers or the body of an error without end is read on for as long as the call lasts. One endless header value took 2 GB of heap; the requests of all other callers end with that process. An interim response other than the one that was asked for was taken for the final response, and its connection went back to the pool with the final one still to come.

Cause: the clients of the own interface were plain ones, whose heads have no limit, and without the credit for bytes that are no content that the fleet router's clients have.

The clients for engines, orders and services now use the transport that limits heads and fields, end points that report resets, and a credit that only content of a stream extends. The transport fails a response that begins with an interim response other than a single 100; this holds for the fleet router too, whose requests failed on these before. The client of the platform limits heads.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
@@ -2,6 +2,7 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.node.io.http.BoundedHttpClients;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -11,6 +12,7 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
@@ -27,7 +29,7 @@
 
     private static final int MAX_MESSAGE_LENGTH = 80;
 
-    private final HttpClient client = new HttpClient();
+    private final HttpClient client = BoundedHttpClients.create(MAX_SMALL_RESPONSE_BYTES);
 
     EngineClient() {
         QueuedThreadPool threads = new QueuedThreadPool();
@@ -50,6 +52,7 @@
         // Responses are passed on as they are: no decoding, redirects or authentication.
         client.getContentDecoderFactories().clear();
         client.getProtocolHandlers().clear();
+        client.getProtocolHandlers().put(new ContinueProtocolHandler());
     }
 
     /** Prepares a chat completion. */
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
@@ -1,5 +1,6 @@
 package io.agatelane.node.io.engine;
 
+import io.agatelane.node.io.http.ReadCredit;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -98,6 +99,7 @@
             demand.run();
             return;
         }
+        ReadCredit.of(request).ifPresent(credit -> credit.extendByContent(bytes.remaining()));
         if (!aborted) {
             parser.parse(bytes, event -> {
                 if (!aborted) {
--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/BoundedHeadTransport.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/BoundedHeadTransport.java
@@ -15,7 +15,8 @@
 import org.eclipse.jetty.io.EndPoint;
 
 /**
- * HTTP/1.1 for clients, with a limit for the number of fields of a response.
+ * HTTP/1.1 for clients, with a limit for the number of fields of a response, and without interim responses that
+ * nobody has asked for.
  *
  * <p>A field of four bytes takes more than a hundred bytes of memory, so the limit of the bytes of a head does not bound
  * the memory that it takes. Trailers are bounded as well: no listener of the client sees them before the response ends.
@@ -62,6 +63,7 @@
 
     private static final class BoundedReceiver extends HttpReceiverOverHTTP {
         private int fields;
+        private int interims;
 
         private BoundedReceiver(HttpChannelOverHTTP channel) {
             super(channel);
@@ -70,9 +72,21 @@
         @Override
         public void startResponse(HttpVersion version, int status, String reason) {
             fields = 0;
+            checkInterim(status);
             super.startResponse(version, status, reason);
         }
 
+        // The client takes an interim response that it does not know for the final one and returns its connection to
+        // the
+        // pool, where the final response would be taken for that to the next request.
+        private void checkInterim(int status) {
+            interims = HttpStatus.isInterim(status) ? interims + 1 : 0;
+            if (interims > 1 || (interims == 1 && status != HttpStatus.CONTINUE_100)) {
+                throw new HttpException.RuntimeException(
+                        HttpStatus.BAD_GATEWAY_502, "unexpected interim response " + status);
+            }
+        }
+
         @Override
         public void parsedHeader(HttpField field) {
             count();
--- a/agatelane-node/src/main/java/io/agatelane/node/io/orders/HttpEngineOrderClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/orders/HttpEngineOrderClient.java
@@ -10,6 +10,7 @@
 import io.agatelane.core.orders.DesiredState;
 import io.agatelane.core.orders.EngineState;
 import io.agatelane.core.orders.SendOutcome;
+import io.agatelane.node.io.http.BoundedHttpClients;
 import java.net.ConnectException;
 import java.net.URI;
 import java.util.concurrent.CompletableFuture;
@@ -34,7 +35,7 @@
     /** Orders are rare, so only the selector and a few tasks run at once. */
     private static final int MAX_THREADS = 8;
 
-    private final HttpClient client = new HttpClient();
+    private final HttpClient client = BoundedHttpClients.create(MAX_RESPONSE_BYTES);
     private final long orderTimeoutMillis;
 
     HttpEngineOrderClient(long orderTimeoutMillis) {
--- a/agatelane-node/src/main/java/io/agatelane/node/io/platform/PlatformClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/platform/PlatformClient.java
@@ -36,6 +36,7 @@
     private static final EventLog LOG = EventLog.of(PlatformClient.class);
     // Limits the memory of a listing. 13,000 client accounts take 2 MB of shards; replaced versions add to that.
     private static final int MAX_RESPONSE_BYTES = 24 << 20;
+    private static final int MAX_HEAD_BYTES = 32 << 10;
     private static final int MAX_CONNECTIONS = 32;
     private static final int MAX_THREADS = 8;
     private static final long MILLIS_PER_SECOND = 1_000;
@@ -81,6 +82,7 @@
         http.setConnectTimeout(timeoutMillis);
         http.setFollowRedirects(false);
         http.setUserAgentField(null);
+        http.setMaxResponseHeadersSize(MAX_HEAD_BYTES);
         try {
             http.start();
         } catch (Exception e) {
--- a/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
@@ -6,6 +6,7 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.node.api.NodeContext;
 import io.agatelane.node.api.Subscription;
+import io.agatelane.node.io.http.BoundedHttpClients;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -49,7 +50,7 @@
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS);
         threads.setName("services-" + context.settings().vmName());
         threads.setDaemon(true);
-        client = new HttpClient();
+        client = BoundedHttpClients.create(MAX_RESPONSE_BYTES);
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
