Take an answer without length as whole only if its request could be sent

Callers got a part of an answer as the whole one: an upstream answered a long upload at once, without a length, sent a part of its body and reset the connection while the router still wrote the upload.

The operating system reports a reset once. When the writer of the request got the report, the reader saw a regular end of the connection, which ends a body without length. The attempt reported the response as complete at that moment; the failure of the request came second and was ignored.

A response that states its end is still complete at its end, whatever becomes of the request. One that ends with its connection is complete when the rest of the request could be sent as well: the client writes on after the end of the response, and the attempt takes the result of both. An upstream that ends its answer first and then reads the rest of a request is not affected. Whether a response ends with its connection now follows its method, its status and its last transfer coding.

Not noticed: an upstream that closes with a regular end and leaves a short request unread, which the router could send whole. A regular end is what states that such an answer is whole, and a reset after it changes nothing.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -349,7 +349,7 @@
             status = newStatus;
             upstreamHeaders = headers;
         }
-        relayedBody.begin(newStatus, headers);
+        relayedBody.begin(newStatus, attempt.framing());
         return true;
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/RelayedBody.java
@@ -10,7 +10,6 @@
 import io.agatelane.node.api.TimerService;
 import java.util.Locale;
 import java.util.Optional;
-import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 
 /**
@@ -40,9 +39,9 @@
     }
 
     /** Begins the body of an attempt's response. */
-    void begin(int status, HttpFields headers) {
+    void begin(int status, ResponseFraming framingOfResponse) {
         isSuccess = HttpStatus.isSuccess(status);
-        framing = Optional.of(ResponseFraming.of(headers));
+        framing = Optional.of(framingOfResponse);
     }
 
     /**
@@ -106,8 +105,9 @@
             return Optional.of("the stream ended inside an event");
         }
         // The end of a connection does not show that an upstream had nothing to send.
-        boolean isUnframed =
-                framing.filter(ResponseFraming.CONNECTION_END::equals).isPresent();
+        boolean isUnframed = framing.filter(
+                        value -> value != ResponseFraming.LENGTH && value != ResponseFraming.CHUNKED)
+                .isPresent();
         return isUnframed && !hasEvent() ? Optional.of("the stream ended before its first event") : Optional.empty();
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -65,6 +65,7 @@
     private long startedMillis;
     private int bodyBytes;
     private volatile boolean responseStarted;
+    private volatile ResponseFraming framing = ResponseFraming.CONNECTION_END;
     private volatile boolean wasRefused;
 
     UpstreamAttempt(ForwardContext context, UpstreamChoice choice, RequestWork work, int number, Listener listener) {
@@ -165,6 +166,11 @@
         return responseStarted;
     }
 
+    /** How the response states its end; to be called after its head has arrived. */
+    ResponseFraming framing() {
+        return framing;
+    }
+
     @Override
     public void onHeaders(Response response) {
         try {
@@ -177,6 +183,7 @@
 
     private void readHead(Response response) {
         responseStarted = true;
+        framing = ResponseFraming.of(request.getMethod(), response.getStatus(), response.getHeaders());
         load.recordResponseStarted(this, work, context.timers().monotonicMillis());
         UpstreamResponse upstreamResponse =
                 context.ports().upstreamProtocol().decode(response.getStatus(), response.getHeaders());
@@ -235,10 +242,15 @@
         listener.onBody(this, bytes, demander);
     }
 
-    // The response is whole, whether or not the request was sent to its end: an upstream may answer before it has read
-    // the body, and never read it.
+    // A response that states its end is whole, whether or not the request was sent to its end: an upstream may answer
+    // before it has read the body, and never read it. One that ends with its connection is whole only if the rest of
+    // the request can still be sent: the operating system reports a reset once, to whichever of the reader and the
+    // writer asks first, and a reader that comes second sees a regular end.
     @Override
     public void onSuccess(Response response) {
+        if (framing == ResponseFraming.CONNECTION_END && !requestSent.get()) {
+            return;
+        }
         if (!HttpStatus.isInterim(response.getStatus()) && recordEnd()) {
             listener.onComplete(this);
             if (!requestSent.get()) {
