Pass on no status that ends no request

Callers got the statuses 600 to 999 and 101 of an upstream as an answer, 500 for a 101 with a length, and 504 at the route's timeout for 100, 102, 103, 150 and 199 without a final answer after them. The HTTP client checks only that a status has three digits and is not below 100.

An attempt now fails at a head whose status is not between 200 and 599, before any header of it is read: no notice of such bytes counts, nor a statement that the request was not run. A safe request is repeated, others get 502.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.agatelane.core.fleet.command.UpstreamNotices;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.node.api.UpstreamResponse;
+import io.agatelane.node.io.http.FinalStatus;
 import io.agatelane.node.io.http.ReadCredit;
 import java.net.ConnectException;
 import java.net.URI;
@@ -20,7 +21,6 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
 /**
@@ -182,6 +182,7 @@
     }
 
     private void readHead(Response response) {
+        FinalStatus.require(response.getStatus());
         responseStarted = true;
         framing = ResponseFraming.of(request.getMethod(), response.getStatus(), response.getHeaders());
         load.recordResponseStarted(this, work, context.timers().monotonicMillis());
@@ -251,7 +252,7 @@
         if (framing == ResponseFraming.CONNECTION_END && !requestSent.get()) {
             return;
         }
-        if (!HttpStatus.isInterim(response.getStatus()) && recordEnd()) {
+        if (recordEnd()) {
             listener.onComplete(this);
             if (!requestSent.get()) {
                 request.abort(new ConnectException("the response has ended"));
