Let a caller read the timeout of its head before the connection closes

FaultyCallerTest.drippingRequestEnds[head] failed once: the caller's write after the router's 408 failed with "Broken pipe".

The router wrote the 408 and closed the connection at once. When bytes of the caller were unread at that moment, or arrived after it, the operating system reset the connection. In 8 of 400 requests that send a byte each 100 ms, with a head timeout of 600 ms, the caller's next write failed. On the loopback interface the 408 was in the caller's receive buffer each time. On a path that loses packets it need not be: the reset ends the connection, and a response that was lost is not sent again.

The connection now sends its end after the 408, discards what the caller still sends, without parsing it, and closes when the caller does, after one second or after 1 MB.

The failing test is unchanged: no write fails now while the 408 is not read.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
@@ -26,6 +26,13 @@
             "HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
                     .getBytes(StandardCharsets.US_ASCII);
 
+    // Closing a connection with unread bytes resets it, and the reset can overtake the response. So the connection
+    // stays
+    // open until the caller closes it, but no longer than a caller takes to notice the response, and for no more bytes.
+    private static final long MAX_DISCARD_MILLIS = 1_000;
+    private static final int MAX_DISCARDED_BYTES = 1 << 20;
+    private static final int DISCARD_BUFFER_BYTES = 4 << 10;
+
     private final TimerService timers;
     private final LongSupplier headTimeoutMillis;
     private final long creditBytes;
@@ -33,6 +40,7 @@
     private final AtomicLong writtenBytes = new AtomicLong();
     private Phase phase = Phase.BETWEEN_REQUESTS;
     private Subscription headTimer = () -> {};
+    private long discardedBytes;
 
     private enum Phase {
         BETWEEN_REQUESTS,
@@ -69,6 +77,9 @@
 
     @Override
     public int fill(ByteBuffer buffer) throws IOException {
+        if (isTimedOut()) {
+            return discard();
+        }
         int filled = super.fill(buffer);
         if (filled > 0) {
             readCredit.use(filled);
@@ -138,7 +149,34 @@
                 .with("caller", getRemoteSocketAddress())
                 .with("action", "closed")
                 .info();
-        write(Callback.from(this::close, failure -> close()), ByteBuffer.wrap(HEAD_TIMEOUT_RESPONSE));
+        write(Callback.from(this::endTimedOut, failure -> close()), ByteBuffer.wrap(HEAD_TIMEOUT_RESPONSE));
+    }
+
+    private synchronized boolean isTimedOut() {
+        return phase == Phase.TIMED_OUT;
+    }
+
+    private void endTimedOut() {
+        shutdownOutput();
+        synchronized (this) {
+            headTimer = timers.after(MAX_DISCARD_MILLIS, this::close);
+        }
+    }
+
+    // Returns as if nothing had arrived, so that the connection waits for more bytes and parses none.
+    private int discard() throws IOException {
+        ByteBuffer bytes = BufferUtil.allocate(DISCARD_BUFFER_BYTES);
+        int filled = super.fill(bytes);
+        while (filled > 0) {
+            discardedBytes += filled;
+            BufferUtil.clear(bytes);
+            filled = super.fill(bytes);
+        }
+        if (filled < 0 || discardedBytes > MAX_DISCARDED_BYTES) {
+            close();
+            return -1;
+        }
+        return 0;
     }
 
     @Override
