Let a caller read the timeout of its body before the connection closes

A caller that still sends its body got 408 when its deadline had passed, and the router closed the connection at once, with unread bytes: 10 of 600 requests that send a byte each 100 ms had a failed write before they had read the 408. It was readable each time on the loopback interface; a reset may overtake it on another path.

The response now ends its connection's output, and the connection is closed only when the rest of the body has come or after the time that a refused body gets. The reader of the body goes on for that time, within the limit of a body.

The rows body and chunk extension of callerThatStillWritesGetsTheTimeout failed before.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardHandler.java
@@ -34,6 +34,8 @@
     // Time for a body whose request states no deadline.
     private static final long MAX_BODY_MILLIS = 30_000;
 
+    private static final byte[] NO_BYTES = new byte[0];
+
     private final ForwardContext context;
     private final HeldBodies bodies;
     private final AtomicInteger inFlight = new AtomicInteger();
@@ -63,13 +65,15 @@
                 .config()
                 .map(config -> config.limits().bodyBytes())
                 .orElse(DEFAULT_BODY_BYTES);
-        CompletableFuture<byte[]> received = bodies.read(request, maxBytes, reservation);
+        CompletableFuture<byte[]> read = bodies.read(request, maxBytes, reservation);
+        CompletableFuture<byte[]> received = read.copy();
         limitTime(received, request);
         var unused = received.handle((body, thrown) -> {
             if (thrown == null) {
                 begin(request, response, counted, body, arrivedMillis);
             } else {
-                refuse(request, response, counted, readFailure(thrown));
+                AgatelaneException failure = readFailure(thrown);
+                refuse(request, response, afterBody(request, read, counted, failure), failure);
             }
             return null;
         });
@@ -145,18 +149,31 @@
     }
 
     // The rest of a body that is not taken is discarded, so that the caller gets the response before the close.
-    private Callback afterBody(Request request, Callback callback, AgatelaneException failure) {
-        return failure.type() == FailureType.BODY_TOO_LARGE || failure.type() == FailureType.NO_MEMORY
-                ? Callback.from(
-                        () -> RequestDiscarder.discard(request, context.timers(), MAX_DISCARD_MILLIS, callback),
-                        callback::failed)
-                : callback;
+    private Callback afterBody(
+            Request request, CompletableFuture<byte[]> read, Callback callback, AgatelaneException failure) {
+        return switch (failure.type()) {
+            case BODY_TOO_LARGE, NO_MEMORY -> Callback.from(
+                    () -> RequestDiscarder.discard(request, context.timers(), MAX_DISCARD_MILLIS, callback),
+                    callback::failed);
+            case REQUEST_TIMEOUT -> Callback.from(() -> awaitEnd(read, callback), callback::failed);
+            default -> callback;
+        };
+    }
+
+    // The body is still being read, up to its end or its limit.
+    private void awaitEnd(CompletableFuture<byte[]> read, Callback callback) {
+        CompletableFuture<byte[]> ended = read.copy();
+        Subscription timer = context.timers().after(MAX_DISCARD_MILLIS, () -> ended.complete(NO_BYTES));
+        var unused = ended.whenComplete((body, thrown) -> {
+            timer.cancel();
+            callback.succeeded();
+        });
     }
 
     private void refuse(Request request, Response response, Callback callback, AgatelaneException failure) {
         String id =
                 context.ports().callerProtocol().requestId(request.getHeaders()).orElse(UNKNOWN_ID);
-        RouterResponses.writeFailure(context, response, afterBody(request, callback, failure), failure, id);
+        RouterResponses.writeFailure(context, response, callback, failure, id);
         ForwardLog.refused(context, request, id, failure);
     }
 }
