Merge answers of upstreams that end early or have no final status

The two parts of the merged work read interim responses differently: the bound on them refused each second one, the handlers skip any number. Up to 16 of the three kinds with a handler are skipped; others, or more, end the attempt.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -6,6 +6,7 @@
 import io.agatelane.core.fleet.command.UpstreamNotices;
 import io.agatelane.core.fleet.query.UpstreamChoice;
 import io.agatelane.node.api.UpstreamResponse;
+import io.agatelane.node.io.http.FinalStatus;
 import io.agatelane.node.io.http.ReadCredit;
 import java.net.ConnectException;
 import java.net.URI;
@@ -20,7 +21,6 @@
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
 
 /**
@@ -65,6 +65,7 @@
     private long startedMillis;
     private int bodyBytes;
     private volatile boolean responseStarted;
+    private volatile ResponseFraming framing = ResponseFraming.CONNECTION_END;
     private volatile boolean wasRefused;
 
     UpstreamAttempt(ForwardContext context, UpstreamChoice choice, RequestWork work, int number, Listener listener) {
@@ -165,6 +166,11 @@
         return responseStarted;
     }
 
+    /** How the response states its end; to be called after its head has arrived. */
+    ResponseFraming framing() {
+        return framing;
+    }
+
     @Override
     public void onHeaders(Response response) {
         try {
@@ -176,7 +182,9 @@
     }
 
     private void readHead(Response response) {
+        FinalStatus.require(response.getStatus());
         responseStarted = true;
+        framing = ResponseFraming.of(request.getMethod(), response.getStatus(), response.getHeaders());
         load.recordResponseStarted(this, work, context.timers().monotonicMillis());
         UpstreamResponse upstreamResponse =
                 context.ports().upstreamProtocol().decode(response.getStatus(), response.getHeaders());
@@ -235,11 +243,16 @@
         listener.onBody(this, bytes, demander);
     }
 
-    // The response is whole, whether or not the request was sent to its end: an upstream may answer before it has read
-    // the body, and never read it.
+    // A response that states its end is whole, whether or not the request was sent to its end: an upstream may answer
+    // before it has read the body, and never read it. One that ends with its connection is whole only if the rest of
+    // the request can still be sent: the operating system reports a reset once, to whichever of the reader and the
+    // writer asks first, and a reader that comes second sees a regular end.
     @Override
     public void onSuccess(Response response) {
-        if (!HttpStatus.isInterim(response.getStatus()) && recordEnd()) {
+        if (framing == ResponseFraming.CONNECTION_END && !requestSent.get()) {
+            return;
+        }
+        if (recordEnd()) {
             listener.onComplete(this);
             if (!requestSent.get()) {
                 request.abort(new ConnectException("the response has ended"));
--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/BoundedHeadTransport.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/BoundedHeadTransport.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.io.http;
 
 import java.util.Map;
+import java.util.Set;
 import org.eclipse.jetty.client.transport.HttpClientConnectionFactory;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.client.transport.internal.HttpChannelOverHTTP;
@@ -24,6 +25,11 @@
 public final class BoundedHeadTransport extends HttpClientTransportOverHTTP {
     // Upstreams send some ten fields. The heads and trailers of 450 responses with as many as this take 16 MB.
     private static final int MAX_RESPONSE_FIELDS = 256;
+    // An upstream sends one or two; more of them would hold the connection without an answer.
+    private static final int MAX_INTERIM_RESPONSES = 16;
+    // The interim responses for which the client has handlers.
+    private static final Set<Integer> SKIPPED_STATUSES =
+            Set.of(HttpStatus.CONTINUE_100, HttpStatus.PROCESSING_102, HttpStatus.EARLY_HINT_103);
 
     private final HttpClientConnectionFactory factory = new HttpClientConnectionFactory();
 
@@ -77,11 +83,10 @@
         }
 
         // The client takes an interim response that it does not know for the final one and returns its connection to
-        // the
-        // pool, where the final response would be taken for that to the next request.
+        // the pool, where the final response would be taken for that to the next request.
         private void checkInterim(int status) {
             interims = HttpStatus.isInterim(status) ? interims + 1 : 0;
-            if (interims > 1 || (interims == 1 && status != HttpStatus.CONTINUE_100)) {
+            if (interims > MAX_INTERIM_RESPONSES || (interims > 0 && !SKIPPED_STATUSES.contains(status))) {
                 throw new HttpException.RuntimeException(
                         HttpStatus.BAD_GATEWAY_502, "unexpected interim response " + status);
             }
