Read no state of an engine from an empty response

A response without length that broke off before its body was read as an engine without a model, weights, adapter or role; the router could then order what was in force already. Such a response is now a failure, like any other body that is not a JSON object.

readsStateAndReportsFailureType failed before with an empty body.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/orders/HttpEngineOrderClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/orders/HttpEngineOrderClient.java
@@ -123,6 +123,11 @@
         }
         try {
             JsonNode state = JSON.readTree(response.getContent());
+            // A response without length that broke off before its body is empty, which is not the state of an engine.
+            if (!state.isObject()) {
+                throw new AgatelaneException(FailureType.UPSTREAM_FAILED, "GET /orders responded with no object")
+                        .withLocation(engine.name());
+            }
             return new EngineState(
                     state.path("model").asText(""),
                     state.path("weights_version").asText(""),
--- a/agatelane-node/src/test/java/io/agatelane/node/io/orders/HttpEngineOrderClientTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/orders/HttpEngineOrderClientTest.java
@@ -114,6 +114,8 @@
         assertEquals(orders.readState(engine).get(), new EngineState("m", "v1", "", "serving"));
         responseBody = "{\"model\":";
         assertEquals(readFailure().type(), FailureType.UPSTREAM_FAILED);
+        responseBody = "";
+        assertEquals(readFailure().type(), FailureType.UPSTREAM_FAILED);
         status = 503;
         assertEquals(readFailure().location(), "e");
         server.stop();
