Take no status that ends no request for an answer of the store

A status above 599 was read as a refusal, so that a write that may have been applied counted as not applied. The heads of such responses now fail the call, as a lost response does; for a write the outcome is unknown.

statusThatEndsNoRequestLeavesTheOutcomeUnknown failed before.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/FinalStatus.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/FinalStatus.java
@@ -2,6 +2,7 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.http.HttpStatus;
 
 /** The statuses that end a request. The HTTP client also delivers responses with other numbers. */
@@ -21,4 +22,13 @@
             throw new AgatelaneException(FailureType.UPSTREAM_FAILED, "status " + status + " ends no request");
         }
     }
+
+    /** Fails a response whose head has arrived and whose status ends no request. */
+    public static void abortUnlessFinal(Response response) {
+        try {
+            require(response.getStatus());
+        } catch (AgatelaneException e) {
+            var unused = response.abort(e);
+        }
+    }
 }
