Take only whole responses with a final status from services

A service that reset its connection within a response without length got its call recorded as finished with the part that had arrived, and each retry of the booking got that part. The statuses 600 to 999 and 101 were passed on and recorded as well. After a 102, 103 or another unknown 1xx the call never ended, not even at its timeout; one was cut off after 585 s.

The client for services used connections that treat a reset as a regular end, skipped no interim response but 100, and checked no status. It now uses the connections that report a reset, with a limit of the bytes that they may deliver, skips 100, 102 and 103 as the client for forwarded requests does, and fails at a head whose status is not between 200 and 599. The outcome of such a call is unknown.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetHttpClients.java
@@ -2,20 +2,14 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.node.io.http.InterimResponses;
 import io.agatelane.node.io.http.ReadCredit;
 import io.agatelane.node.io.http.ResetAwareConnector;
 import java.util.concurrent.Executor;
-import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.DuplexConnectionPool;
-import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.ProcessingProtocolHandler;
-import org.eclipse.jetty.client.ProtocolHandlers;
-import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.SocketAddressResolver;
@@ -105,21 +99,8 @@
         } catch (Exception e) {
             throw new AgatelaneException(FailureType.INTERNAL, "the HTTP client did not start: " + e, e);
         }
-        // Without these handlers an interim response is delivered as the final one, and the client then waits in vain.
-        ProtocolHandlers handlers = client.getProtocolHandlers();
-        handlers.clear();
-        handlers.put(new EveryContinueHandler());
-        handlers.put(new ProcessingProtocolHandler());
-        handlers.put(new EarlyHintsProtocolHandler());
+        InterimResponses.handleOnly(client);
         client.getContentDecoderFactories().clear();
         return client;
     }
-
-    /** Skips each interim response of this kind; the client's handler skips one and delivers the next as the final one. */
-    private static final class EveryContinueHandler extends ContinueProtocolHandler {
-        @Override
-        public boolean accept(Request request, Response response) {
-            return response.getStatus() == HttpStatus.CONTINUE_100;
-        }
-    }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
@@ -6,6 +6,10 @@
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.node.api.NodeContext;
 import io.agatelane.node.api.Subscription;
+import io.agatelane.node.io.http.FinalStatus;
+import io.agatelane.node.io.http.InterimResponses;
+import io.agatelane.node.io.http.ReadCredit;
+import io.agatelane.node.io.http.ResetAwareConnector;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -16,11 +20,11 @@
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
-import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
@@ -40,6 +44,8 @@
     // Short, so that repeatable calls also avoid connections that the service may be about to close.
     private static final int POOL_IDLE_MILLIS = 2_000;
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    // A body, its head and the framing of chunks of a few bytes.
+    private static final long MAX_RECEIVED_BYTES = 2L * MAX_RESPONSE_BYTES;
 
     private final NodeContext context;
     private final HttpClient client;
@@ -49,7 +55,8 @@
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS);
         threads.setName("services-" + context.settings().vmName());
         threads.setDaemon(true);
-        client = new HttpClient();
+        // A response without a length ends with its connection; only a reset shows that it has broken off.
+        client = new HttpClient(new HttpClientTransportOverHTTP(new ResetAwareConnector()));
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
@@ -57,6 +64,8 @@
         client.setFollowRedirects(false);
         client.setUserAgentField(null);
         client.setHttpCookieStore(new HttpCookieStore.Empty());
+        client.getRequestListeners().addBeginListener(request -> ReadCredit.of(request)
+                .ifPresent(credit -> credit.reset(MAX_RECEIVED_BYTES)));
     }
 
     void start() {
@@ -66,8 +75,7 @@
             throw new AgatelaneException(FailureType.INTERNAL, "the HTTP client did not start", e);
         }
         // The client installs its default handlers and decoders when it starts, so they are removed only now.
-        client.getProtocolHandlers().clear();
-        client.getProtocolHandlers().put(new ContinueProtocolHandler());
+        InterimResponses.handleOnly(client);
         client.getContentDecoderFactories().clear();
     }
 
@@ -163,6 +171,7 @@
                 }
             }
         };
+        request.onResponseHeaders(FinalStatus::abortUnlessFinal);
         try {
             if (connection == null) {
                 request.send(listener);
