Skip interim responses of engines and fail statuses that end no request

The client for engines had the same gap as that for services: it skipped no interim response, and a status such as 101 or 600 counted as a refusal of the engine. It uses the same two checks now. There is no test of its own; streams of engines end with an event of their own, so that a reset that looks like a regular end is noticed there already.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
@@ -2,6 +2,8 @@
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
+import io.agatelane.node.io.http.FinalStatus;
+import io.agatelane.node.io.http.InterimResponses;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -49,7 +51,7 @@
         }
         // Responses are passed on as they are: no decoding, redirects or authentication.
         client.getContentDecoderFactories().clear();
-        client.getProtocolHandlers().clear();
+        InterimResponses.handleOnly(client);
     }
 
     /** Prepares a chat completion. */
@@ -92,6 +94,7 @@
         CompletableFuture<SmallResponse> future = new CompletableFuture<>();
         client.newRequest(URI.create(baseUrl + path))
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .onResponseHeaders(FinalStatus::abortUnlessFinal)
                 .send(new BufferingResponseListener(MAX_SMALL_RESPONSE_BYTES) {
                     @Override
                     public void onComplete(Result result) {
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
@@ -1,5 +1,6 @@
 package io.agatelane.node.io.engine;
 
+import io.agatelane.node.io.http.FinalStatus;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -53,6 +54,7 @@
 
     void start() {
         request.onRequestBegin(unused -> requestStarted = true)
+                .onResponseHeaders(FinalStatus::abortUnlessFinal)
                 .onResponseHeaders(this::headers)
                 .onResponseContentAsync(this::content)
                 .send(this::complete);
