Merge interim responses and statuses that end no request in the own interface

The clients of the own interface keep the bounds of BoundedHttpClients; the client of services counts twice the size of a response there, for the framing of small chunks, instead of setting the credit a second time.

--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
@@ -3,6 +3,8 @@
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.node.io.http.BoundedHttpClients;
+import io.agatelane.node.io.http.FinalStatus;
+import io.agatelane.node.io.http.InterimResponses;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -12,7 +14,6 @@
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
-import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Result;
@@ -51,8 +52,7 @@
         }
         // Responses are passed on as they are: no decoding, redirects or authentication.
         client.getContentDecoderFactories().clear();
-        client.getProtocolHandlers().clear();
-        client.getProtocolHandlers().put(new ContinueProtocolHandler());
+        InterimResponses.handleOnly(client);
     }
 
     /** Prepares a chat completion. */
@@ -95,6 +95,7 @@
         CompletableFuture<SmallResponse> future = new CompletableFuture<>();
         client.newRequest(URI.create(baseUrl + path))
                 .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+                .onResponseHeaders(FinalStatus::abortUnlessFinal)
                 .send(new BufferingResponseListener(MAX_SMALL_RESPONSE_BYTES) {
                     @Override
                     public void onComplete(Result result) {
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineStream.java
@@ -1,5 +1,6 @@
 package io.agatelane.node.io.engine;
 
+import io.agatelane.node.io.http.FinalStatus;
 import io.agatelane.node.io.http.ReadCredit;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
@@ -54,6 +55,7 @@
 
     void start() {
         request.onRequestBegin(unused -> requestStarted = true)
+                .onResponseHeaders(FinalStatus::abortUnlessFinal)
                 .onResponseHeaders(this::headers)
                 .onResponseContentAsync(this::content)
                 .send(this::complete);
--- a/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
@@ -7,6 +7,8 @@
 import io.agatelane.node.api.NodeContext;
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.io.http.BoundedHttpClients;
+import io.agatelane.node.io.http.FinalStatus;
+import io.agatelane.node.io.http.InterimResponses;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -17,7 +19,6 @@
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Connection;
-import org.eclipse.jetty.client.ContinueProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -41,6 +42,8 @@
     // Short, so that repeatable calls also avoid connections that the service may be about to close.
     private static final int POOL_IDLE_MILLIS = 2_000;
     private static final int MAX_RESPONSE_BYTES = 16 << 20;
+    // A body and the framing of chunks of a few bytes.
+    private static final long MAX_RECEIVED_BYTES = 2L * MAX_RESPONSE_BYTES;
 
     private final NodeContext context;
     private final HttpClient client;
@@ -50,7 +53,7 @@
         QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS);
         threads.setName("services-" + context.settings().vmName());
         threads.setDaemon(true);
-        client = BoundedHttpClients.create(MAX_RESPONSE_BYTES);
+        client = BoundedHttpClients.create(MAX_RECEIVED_BYTES);
         client.setExecutor(threads);
         client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
         client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
@@ -67,8 +70,7 @@
             throw new AgatelaneException(FailureType.INTERNAL, "the HTTP client did not start", e);
         }
         // The client installs its default handlers and decoders when it starts, so they are removed only now.
-        client.getProtocolHandlers().clear();
-        client.getProtocolHandlers().put(new ContinueProtocolHandler());
+        InterimResponses.handleOnly(client);
         client.getContentDecoderFactories().clear();
     }
 
@@ -164,6 +166,7 @@
                 }
             }
         };
+        request.onResponseHeaders(FinalStatus::abortUnlessFinal);
         try {
             if (connection == null) {
                 request.send(listener);
