--- a/agatelane-node/src/test/java/io/agatelane/node/io/orders/HttpEngineOrderClientTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/orders/HttpEngineOrderClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
@@ -9,6 +10,8 @@
 import io.agatelane.core.orders.DesiredState;
 import io.agatelane.core.orders.EngineState;
 import io.agatelane.core.orders.SendOutcome;
+import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -93,6 +96,7 @@
                     "e", "http://127.0.0.1:" + listener.getLocalPort(), "z", List.of("m"), "", 1, true, false);
             CompletableFuture<SendOutcome> first = orders.sendOrder(ended, 7, new DesiredState("m", "v2", "", ""));
             try (Socket connection = listener.accept()) {
+                awaitOrder(connection.getInputStream());
                 connection
                         .getOutputStream()
                         .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
@@ -107,6 +111,15 @@
         }
     }
 
+    // A response that comes before its request has been written leaves the outcome unknown.
+    private static void awaitOrder(InputStream in) throws IOException {
+        int read = in.read();
+        while (read != '}') {
+            assertTrue(read >= 0, "the connection ended before the order");
+            read = in.read();
+        }
+    }
+
     // Guards against a malformed or failed response that is read as a state, and against failures without a type.
     @Test
     public void readsStateAndReportsFailureType() throws Exception {
