--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -35,8 +35,7 @@
 public final class StorePoller {
     private static final EventLog LOG = EventLog.of(StorePoller.class);
     // A failed read is retried soon, with jitter so that the routers do not all retry at the same time. Further
-    // failures
-    // double the pause: the store charges for the calls that it rejects, too.
+    // failures double the pause: the store charges for the calls that it rejects, too.
     private static final long RETRY_MILLIS = 150;
     private static final long MAX_RETRY_MILLIS = 1_200;
     private static final long RETRY_JITTER_MILLIS = 250;
@@ -286,8 +285,7 @@
     }
 
     // The roll-out record is no part of the compared content, and its revision must not go back. Revisions of a later
-    // era
-    // of the store are larger, so a record of an earlier era does not stay.
+    // era of the store are larger, so a record of an earlier era does not stay.
     private FleetReadResult withNewestRollout(FleetReadResult read) {
         boolean hasOlder = read.routerEntries().stream().anyMatch(this::isOlderRollout);
         if (!hasOlder) {
@@ -395,8 +393,8 @@
     }
 
     // After the store went back, a read does not prove that the configuration is the newest one: one that was
-    // acknowledged
-    // and lost may have revoked a key. It does once the operator has written a newer one, or has had time to.
+    // acknowledged and lost may have revoked a key. It does once the operator has written a newer one, or has had
+    // time to.
     private ClockReading provenAt(FleetView read, ClockReading verifiedAt) {
         long known = configVersion();
         long version = read.config().map(FleetConfig::version).orElse(known);
--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
@@ -27,8 +27,8 @@
                     .getBytes(StandardCharsets.US_ASCII);
 
     // Closing a connection with unread bytes resets it, and the reset can overtake the response. So the connection
-    // stays
-    // open until the caller closes it, but no longer than a caller takes to notice the response, and for no more bytes.
+    // stays open until the caller closes it, but no longer than a caller takes to notice the response, and for no
+    // more bytes.
     private static final long MAX_DISCARD_MILLIS = 1_000;
     private static final int MAX_DISCARDED_BYTES = 1 << 20;
     private static final int DISCARD_BUFFER_BYTES = 4 << 10;
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/LoadGossipTest.java
@@ -212,8 +212,7 @@
     }
 
     // Guards against routers that take the content of the era before for that of their relay, because the store has
-    // given
-    // the same revisions out again.
+    // given the same revisions out again.
     @Test
     public void newEraOfTheStoreReachesAllWithinTheBound() {
         GossipCluster cluster = new GossipCluster(40);
