--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRequestTimesWriter.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/WeightsRequestTimesWriter.java
@@ -11,7 +11,8 @@
 /** Records in the store when weights were requested, as far as this router knows. Runs on the control thread. */
 final class WeightsRequestTimesWriter {
     private static final EventLog LOG = EventLog.of(WeightsRequestTimesWriter.class);
-    // Longer than the time after which the own write is read back, so that it is not repeated.
+    // Longer than the time after which a router without a relay reads its own write back, so that it is not repeated.
+    // With a relay it can take longer; the store then refuses the repeated write.
     private static final long MIN_WRITE_GAP_MILLIS = 1_500;
 
     private final ConditionalStore store;
