Wait for the crash reports in quarantinesARequestThatCrashesEngines

The test waited for the quarantine by sending the crashing request itself until it was refused. Reports are published on the control thread, so a request in between is allowed. The test now waits until both reports were delivered; then the very first request has to be refused, which is stricter.

--- a/agatelane-node/src/test/java/io/agatelane/node/io/engine/FakeGossipHintExchange.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/engine/FakeGossipHintExchange.java
@@ -6,11 +6,13 @@
 import io.agatelane.wire.peer.UpstreamDigest;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 /** Delivers the hints of every router of a test to all the others at once. */
 final class FakeGossipHintExchange {
     private final List<Endpoint> endpoints = new CopyOnWriteArrayList<>();
+    private final AtomicInteger deliveredQuarantines = new AtomicInteger();
 
     GossipHintExchange attach() {
         Endpoint endpoint = new Endpoint();
@@ -18,6 +20,11 @@
         return endpoint;
     }
 
+    /** Number of quarantine messages that all other routers have received. */
+    int deliveredQuarantines() {
+        return deliveredQuarantines.get();
+    }
+
     private final class Endpoint implements GossipHintExchange {
         private final List<Consumer<UpstreamDigest>> upstreamListeners = new CopyOnWriteArrayList<>();
         private final List<Consumer<Quarantine>> quarantineListeners = new CopyOnWriteArrayList<>();
@@ -31,6 +38,7 @@
         @Override
         public void publish(Quarantine quarantine) {
             others().forEach(other -> other.quarantineListeners.forEach(listener -> listener.accept(quarantine)));
+            deliveredQuarantines.incrementAndGet();
         }
 
         @Override
--- a/agatelane-node/src/test/java/io/agatelane/node/io/engine/StreamFailureTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/io/engine/StreamFailureTest.java
@@ -24,6 +24,7 @@
 
     private final List<FakeEngine> engines = new ArrayList<>();
     private final FakeConfigView config = new FakeConfigView();
+    private FakeGossipHintExchange hintExchange;
     private EngineTestRouter router;
     private EngineTestRouter otherRouter;
 
@@ -34,7 +35,7 @@
             engines.add(new FakeEngine("e" + i));
         }
         configure(false);
-        FakeGossipHintExchange hintExchange = new FakeGossipHintExchange();
+        hintExchange = new FakeGossipHintExchange();
         router = new EngineTestRouter("r1", config, hintExchange);
         otherRouter = new EngineTestRouter("r2", config, hintExchange);
         router.awaitReady(3);
@@ -99,9 +100,8 @@
         String poison = EngineTestRouter.body(true, "poison");
         assertEquals(router.post(poison).statusCode(), 502);
         assertEquals(otherRouter.post(poison).statusCode(), 502);
-        EngineTestRouter.await(
-                "quarantine received",
-                () -> unchecked(() -> router.post(poison)).statusCode() == 422);
+        EngineTestRouter.await("crashes reported", () -> hintExchange.deliveredQuarantines() >= 2);
+        assertEquals(router.post(poison).statusCode(), 422);
         HttpResponse<String> refused = otherRouter.post(poison);
         assertEquals(refused.statusCode(), 422);
         assertTrue(refused.body().contains("\"executed\":\"no\""), refused.body());
