Read the directory page by page and end calls that are never reported

Cause: a read of the store held all values of all pages, which exhausts the heap of 126 MB. The error was thrown in the callback of the HTTP client, which only logs it, so the future of the call never ended and the poller, which schedules its next read on completion, stopped for good.

Evidence: a trial build with a line at each place where an error could be dropped logged one OutOfMemoryError in JsonCalls.onComplete at each of three routers and none elsewhere.

Change: the first page of a read brings the operator's and the routers' entries and is applied at once; the rest of the directory is read page by page (DirectoryScan), each entry decoded once for each revision. A failure in a callback fails its call, and a limit that does not depend on the client ends calls that are not reported. Timers and continuations catch errors; a watchdog begins stopped loops again, logs and counts them. A router that cannot prove its configuration is not ready.

--- a/agatelane-node/src/main/java/io/agatelane/node/api/StoreContentId.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/api/StoreContentId.java
@@ -48,14 +48,18 @@
 
         /** Computes the identity of a set of entries. */
         public static EntrySetId of(List<KeyValue> items) {
-            long newest = 0;
-            long digest = 0;
-            for (KeyValue item : items) {
-                long revision = StoreEra.number(item.revision());
-                newest = Math.max(newest, revision);
-                digest += Rendezvous.weight(Rendezvous.hash(item.key()), revision);
-            }
-            return new EntrySetId(newest, digest);
+            return items.stream().map(item -> of(item.key(), item.revision())).reduce(NONE, EntrySetId::union);
+        }
+
+        /** Computes the identity of the set of one entry, whose revision is qualified with its era. */
+        public static EntrySetId of(String key, long revision) {
+            long number = StoreEra.number(revision);
+            return new EntrySetId(number, Rendezvous.weight(Rendezvous.hash(key), number));
+        }
+
+        /** Returns the identity of the union of two disjoint sets of entries. */
+        public EntrySetId union(EntrySetId other) {
+            return new EntrySetId(Math.max(newestRevision, other.newestRevision), digest + other.digest);
         }
 
         private boolean mayBeOlderThan(EntrySetId other) {
--- a/agatelane-node/src/main/java/io/agatelane/node/control/ControlThread.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/control/ControlThread.java
@@ -7,11 +7,14 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 
 /** Executor and timer service of the single thread that owns all control state. */
 public final class ControlThread implements Executor, TimerService, AutoCloseable {
     private static final EventLog LOG = EventLog.of(ControlThread.class);
 
+    private static final LongAdder LOST_LINES = new LongAdder();
+
     private final ScheduledThreadPoolExecutor executor;
 
     public ControlThread(String vmName) {
@@ -29,6 +32,11 @@
         executor.execute(() -> runGuarded("task", task));
     }
 
+    /** Number of failures of tasks that could not be logged, because the heap was exhausted. */
+    public long unloggedFailures() {
+        return LOST_LINES.sum();
+    }
+
     @Override
     public long monotonicMillis() {
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
@@ -61,8 +69,17 @@
     private static void runGuarded(String name, Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException e) {
-            LOG.event("control_task_failed").with("task", name).error(e);
+        } catch (RuntimeException | Error e) {
+            logFailure(name, e);
+        }
+    }
+
+    private static void logFailure(String name, Throwable failure) {
+        try {
+            LOG.event("control_task_failed").with("task", name).error(failure);
+        } catch (OutOfMemoryError e) {
+            // The line needs memory itself, and a lost line is less harm than a lost timer.
+            LOST_LINES.increment();
         }
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/CacheStoreProbe.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/CacheStoreProbe.java
@@ -2,7 +2,9 @@
 
 import io.agatelane.core.fleet.CacheStore;
 import io.agatelane.node.api.EngineControl;
+import io.agatelane.node.api.Subscription;
 import io.agatelane.node.api.TimerService;
+import io.agatelane.node.control.Watchdog;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.node.util.Futures;
 import java.util.Optional;
@@ -15,6 +17,8 @@
     private static final long PERIOD_MILLIS = 1_000;
     // The store serves about a dozen of these queries at a time, so the period grows with the number of routers.
     private static final int ROUTERS_PER_PERIOD = 8;
+    // Longer than the pause between two probes in the largest fleets.
+    private static final long MAX_SILENT_MILLIS = 60_000;
 
     private final FleetState state;
     private final RouterRegistry registry;
@@ -22,6 +26,8 @@
     private final TimerService timers;
     private final Executor control;
     private Optional<CacheStore> lastProbed = Optional.empty();
+    private Watchdog.Heartbeat heartbeat = Watchdog.Heartbeat.NONE;
+    private Subscription nextProbe = () -> {};
 
     /** Creates a probe; {@link #start} begins to poll. */
     public CacheStoreProbe(
@@ -33,12 +39,21 @@
         this.control = control;
     }
 
+    /** Lets a watchdog start the polling again if it stops. */
+    void watch(Watchdog watchdog) {
+        heartbeat = watchdog.watch("cache-store-probe", MAX_SILENT_MILLIS, () -> {
+            nextProbe.cancel();
+            probe();
+        });
+    }
+
     /** Starts polling. */
     public void start() {
-        timers.after(PERIOD_MILLIS, this::probe);
+        nextProbe = timers.after(PERIOD_MILLIS, this::probe);
     }
 
     private void probe() {
+        heartbeat.beat();
         Optional<CacheStore> store = state.snapshot().config().flatMap(config -> config.cacheStore());
         if (store.isEmpty()) {
             scheduleNext();
@@ -63,6 +78,6 @@
 
     private void scheduleNext() {
         long periods = 1 + registry.others().size() / ROUTERS_PER_PERIOD;
-        timers.after(PERIOD_MILLIS * periods, this::probe);
+        nextProbe = timers.after(PERIOD_MILLIS * periods, this::probe);
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -1,6 +1,7 @@
 package io.agatelane.node.fleet;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.core.fleet.FleetConfig;
 import io.agatelane.core.fleet.query.ChoiceSettings;
 import io.agatelane.core.fleet.query.UpstreamChooser;
 import io.agatelane.node.api.FleetPorts;
@@ -8,6 +9,7 @@
 import io.agatelane.node.api.TimerService;
 import io.agatelane.node.cfg.FleetSettings;
 import io.agatelane.node.control.ControlThread;
+import io.agatelane.node.control.Watchdog;
 import io.agatelane.node.forward.ForwardContext;
 import io.agatelane.node.forward.ForwardHandler;
 import io.agatelane.node.io.gossip.UdpSocket;
@@ -63,6 +65,7 @@
     private final QueuedThreadPool threads;
     private final CountDownLatch closed = new CountDownLatch(1);
     private final MetricRegistry metrics;
+    private final Watchdog watchdog;
     private volatile UdpSocket gossipSocket;
     private volatile boolean draining;
 
@@ -119,6 +122,13 @@
                 settings.vmName(),
                 settings.leaseMillis(),
                 settings.upstreamsCheckFencing());
+        watchdog = new Watchdog(control, metrics);
+        poller.watch(watchdog);
+        registry.watch(watchdog);
+        gossip.watch(watchdog);
+        cacheStoreProbe.watch(watchdog);
+        leadership.watch(watchdog);
+        metrics.gauge("control_failures_unlogged_total", () -> control::unloggedFailures);
         rollout = new WeightsRollout(
                 state,
                 poller,
@@ -145,6 +155,7 @@
         node.cacheStoreProbe.start();
         node.poller.start();
         node.rollout.start();
+        node.watchdog.start();
         LOG.event("started")
                 .with("vm", settings.vmName())
                 .with("zone", settings.zone())
@@ -192,7 +203,16 @@
 
     private boolean isReady() {
         FleetSnapshot snapshot = state.snapshot();
-        return !draining && snapshot.config().isPresent();
+        return !draining && snapshot.config().isPresent() && (isProven(snapshot) || !needsProof(snapshot));
+    }
+
+    // Without a recent proof of the configuration every request with an API key is refused.
+    private boolean isProven(FleetSnapshot snapshot) {
+        return snapshot.configAgeMillis(control.now()) <= context.settings().maxConfigAgeMillis();
+    }
+
+    private static boolean needsProof(FleetSnapshot snapshot) {
+        return snapshot.config().filter(FleetConfig::requiresApiKey).isPresent();
     }
 
     /** Leaves the load balancer's rotation, finishes the accepted requests, and stops within the grace period. */
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetSnapshot.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetSnapshot.java
@@ -65,6 +65,13 @@
         return configVerifiedAt;
     }
 
+    /** Time since the configuration was last verified as current; the largest number until the store was read once. */
+    public long configAgeMillis(ClockReading now) {
+        return configVerifiedAt
+                .map(verifiedAt -> verifiedAt.ageMillis(now.monotonicMillis(), now.epochMillis()))
+                .orElse(Long.MAX_VALUE);
+    }
+
     /** The upstreams of a service that take new work. */
     public List<FleetUpstream> usable(String service) {
         return usable.getOrDefault(service, List.of());
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/LoadGossip.java
@@ -11,6 +11,7 @@
 import io.agatelane.node.api.StoreContentId;
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.api.TimerService;
+import io.agatelane.node.control.Watchdog;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.wire.peer.DigestKind;
 import io.agatelane.wire.peer.LoadDigest;
@@ -39,6 +40,8 @@
     private static final EventLog LOG = EventLog.of(LoadGossip.class);
     // Load changes within a few hundred milliseconds.
     private static final long PERIOD_MILLIS = 200;
+    // Other routers forget the load of one that is silent for longer.
+    private static final long MAX_SILENT_MILLIS = 2_000;
     // Up to this many other routers, sending to each of them costs less than the longer path over relays.
     private static final int MAX_DIRECT = 12;
     // Router to relay, relay to relay, relay to router.
@@ -61,7 +64,8 @@
     private final RelayOutbox outbox = new RelayOutbox();
     private final SentDigests sentDigests = new SentDigests();
     private Optional<String> relayName = Optional.empty();
-    private Subscription nextSend;
+    private Subscription nextSend = () -> {};
+    private Watchdog.Heartbeat heartbeat = Watchdog.Heartbeat.NONE;
     private long sentMillis;
     private long sequence;
     private long lastUnreadableLogMillis = -UNREADABLE_LOG_MILLIS;
@@ -114,8 +118,17 @@
         scheduleSend(PERIOD_MILLIS);
     }
 
+    /** Lets a watchdog start the sending again if it stops. */
+    void watch(Watchdog watchdog) {
+        heartbeat = watchdog.watch("load-gossip", MAX_SILENT_MILLIS, () -> {
+            nextSend.cancel();
+            scheduleSend(PERIOD_MILLIS);
+        });
+    }
+
     private void scheduleSend(long delayMillis) {
         nextSend = timers.after(delayMillis, () -> {
+            heartbeat.beat();
             scheduleSend(PERIOD_MILLIS);
             send();
         });
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutLeadership.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RolloutLeadership.java
@@ -7,6 +7,7 @@
 import io.agatelane.node.api.KeyValue;
 import io.agatelane.node.api.StoreEra;
 import io.agatelane.node.api.TimerService;
+import io.agatelane.node.control.Watchdog;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.node.util.Futures;
 import java.util.Optional;
@@ -29,6 +30,8 @@
 public final class RolloutLeadership {
     private static final EventLog LOG = EventLog.of(RolloutLeadership.class);
     private static final long RENEW_MILLIS = 1_000;
+    // Longer than two calls to the store, after which no response can come any more.
+    private static final long MAX_SILENT_MILLIS = 10_000;
 
     private final ConditionalStore store;
     private final TimerService timers;
@@ -41,6 +44,7 @@
     private long era;
     private long acquireNotBeforeMillis;
     private boolean mayHaveLeftover;
+    private Watchdog.Heartbeat heartbeat = Watchdog.Heartbeat.NONE;
 
     /** Creates a leadership that is not held. */
     public RolloutLeadership(
@@ -74,10 +78,24 @@
         }
     }
 
-    /** Whether this router may give orders now. */
+    /** Lets a watchdog end a call to the store that never returned, which would keep this router out of all terms. */
+    void watch(Watchdog watchdog) {
+        heartbeat = watchdog.watch("rollout-leadership", MAX_SILENT_MILLIS, () -> {
+            requestInFlight = false;
+            stepDown("call_unreported");
+        });
+    }
+
+    /** Whether this router may give orders now. Must be called periodically. */
     public boolean isHeld() {
         noticeEra();
-        return isLeaseCertain();
+        if (!requestInFlight) {
+            heartbeat.beat();
+        }
+        if (term.isPresent() && !isLeaseCertain()) {
+            stepDown("lease_not_renewed");
+        }
+        return term.isPresent();
     }
 
     private boolean isLeaseCertain() {
@@ -185,7 +203,6 @@
             if (failure == null) {
                 held.renewedAt = requestedAt;
             } else if (!isHeld()) {
-                stepDown("lease_not_renewed");
                 return;
             }
             timers.after(RENEW_MILLIS, this::renew);
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RouterRegistry.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RouterRegistry.java
@@ -6,6 +6,7 @@
 import io.agatelane.node.api.StoreEra;
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.api.TimerService;
+import io.agatelane.node.control.Watchdog;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.node.util.Futures;
 import io.agatelane.node.util.SocketAddresses;
@@ -36,6 +37,8 @@
     // Spreads the writes of the routers whose entries a store has lost: two calls of each.
     private static final long REWRITE_JITTER_MILLIS = 2_000;
     // A router notices with its next renewal that its lease is gone, and a failed registration is repeated once.
+    // Longer than the pause between two calls and the calls themselves, and shorter than the lease.
+    private static final long MAX_SILENT_MILLIS = 14_000;
     private static final long REMEMBERED_MILLIS = 2 * RENEW_MILLIS + 2 * REWRITE_JITTER_MILLIS;
     private static final long NO_LEASE = 0;
     private static final String SEPARATOR = ":";
@@ -52,6 +55,7 @@
     private boolean started;
     private boolean registering;
     private Subscription nextCall = () -> {};
+    private Watchdog.Heartbeat heartbeat = Watchdog.Heartbeat.NONE;
     private long registeredEra;
     private long listedEra;
     private List<RouterEntry> remembered = List.of();
@@ -87,6 +91,16 @@
         });
     }
 
+    /** Lets a watchdog register this router again if it stops renewing its entry. */
+    void watch(Watchdog watchdog) {
+        heartbeat = watchdog.watch("router-registry", MAX_SILENT_MILLIS, () -> {
+            if (started) {
+                nextCall.cancel();
+                register();
+            }
+        });
+    }
+
     // An entry that the older copy has lasts until the next renewal, which registers anew.
     private void registerIfMissing() {
         if (!registering && ownRevision() == 0) {
@@ -155,6 +169,7 @@
     }
 
     private void register() {
+        heartbeat.beat();
         String key = PREFIX + self.vm();
         long known = ownRevision();
         registering = true;
@@ -178,6 +193,7 @@
     }
 
     private void renew() {
+        heartbeat.beat();
         long renewedLeaseId = leaseId;
         Futures.whenDone(store.renewLease(renewedLeaseId), control, (leftMillis, failure) -> {
             if (failure != null) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -10,7 +10,9 @@
 import io.agatelane.node.api.FleetSource;
 import io.agatelane.node.api.KeyValue;
 import io.agatelane.node.api.StoreContentId;
+import io.agatelane.node.api.Subscription;
 import io.agatelane.node.api.TimerService;
+import io.agatelane.node.control.Watchdog;
 import io.agatelane.node.util.EventLog;
 import io.agatelane.node.util.Futures;
 import java.util.ArrayList;
@@ -65,6 +67,8 @@
     // Longer than a read that times out and the pause after it. A router that has not tried to read for this long was
     // suspended.
     private static final long MAX_IDLE_MILLIS = 3_000;
+    // Longer than any read that ends by itself, with its pause, and shorter than a proof of the configuration is used.
+    private static final long MAX_SILENT_MILLIS = 4_000;
 
     private final FleetSource source;
     private final FleetState state;
@@ -73,6 +77,7 @@
     private final RandomGenerator random;
     private final long pollMillis;
     private final MetricRegistry metrics;
+    private final DirectoryScan directory;
     private final List<Runnable> listeners = new ArrayList<>();
     private final KnownUpstreams knownUpstreams = new KnownUpstreams();
     private FleetView view = FleetView.EMPTY;
@@ -83,7 +88,11 @@
     private StoreContentId content = StoreContentId.NONE;
     private Optional<ClockReading> relayVerifiedAt = Optional.empty();
     private StoreContentId relayedContent = StoreContentId.NONE;
+    private RolloutRecord rolloutRecord = RolloutRecord.NONE;
+    private Watchdog.Heartbeat heartbeat = Watchdog.Heartbeat.NONE;
+    private Subscription nextRead = () -> {};
     private boolean reading;
+    private long readNumber;
     private long readStartedMillis;
     private long newestReadMillis;
     private boolean storeReachable = true;
@@ -113,6 +122,7 @@
         this.random = random;
         this.pollMillis = pollMillis;
         this.metrics = metrics;
+        this.directory = new DirectoryScan(source, timers, control, this::applyDirectory);
         this.storeRegainedMillis = timers.monotonicMillis() - OUTAGE_GRACE_MILLIS;
     }
 
@@ -126,6 +136,19 @@
         control.execute(this::read);
     }
 
+    /** Lets a watchdog start the polling again if it stops. Must be called before {@link #start}. */
+    void watch(Watchdog watchdog) {
+        heartbeat = watchdog.watch("store-poll", MAX_SILENT_MILLIS, this::restart);
+    }
+
+    private void restart() {
+        nextRead.cancel();
+        directory.restart();
+        readNumber++;
+        reading = false;
+        read();
+    }
+
     /** Stops polling; a read in flight still completes. */
     public void close() {
         control.execute(() -> closed = true);
@@ -234,12 +257,17 @@
         if (closed) {
             return;
         }
-        if (reading || (isConfirmedByRelay() && !isRelayedPollDue())) {
-            timers.after(RELAYED_CHECK_MILLIS, this::read);
+        if (reading) {
+            scheduleRead(RELAYED_CHECK_MILLIS);
+            return;
+        }
+        heartbeat.beat();
+        if (isConfirmedByRelay() && !isRelayedPollDue()) {
+            scheduleRead(RELAYED_CHECK_MILLIS);
             return;
         }
-        Consumer<Boolean> scheduleNext = succeeded -> timers.after(
-                succeeded ? pollMillis : failurePauseMillis() + random.nextLong(RETRY_JITTER_MILLIS), this::read);
+        Consumer<Boolean> scheduleNext = succeeded ->
+                scheduleRead(succeeded ? pollMillis : failurePauseMillis() + random.nextLong(RETRY_JITTER_MILLIS));
         if (isConfirmedByRelay()) {
             readPossiblyStale(scheduleNext);
         } else {
@@ -247,6 +275,10 @@
         }
     }
 
+    private void scheduleRead(long delayMillis) {
+        nextRead = timers.after(delayMillis, this::read);
+    }
+
     // Pause after the reads that have failed in a row; 0 after a successful one.
     private long failurePauseMillis() {
         return failedReads == 0 ? 0 : Math.min(MAX_RETRY_MILLIS, RETRY_MILLIS << Math.min(failedReads - 1, MAX_SHIFT));
@@ -267,23 +299,33 @@
     private void readPossiblyStale(Consumer<Boolean> then) {
         reading = true;
         readStartedMillis = timers.monotonicMillis();
+        long number = ++readNumber;
         Futures.whenDone(source.readPossiblyStale(), control, (read, failure) -> {
+            if (number != readNumber) {
+                return;
+            }
             reading = false;
             Optional<ClockReading> verifiedAt = state.snapshot().configVerifiedAt();
-            if (failure != null || verifiedAt.isEmpty() || !read.content().equals(relayedContent)) {
+            if (failure != null || verifiedAt.isEmpty() || !isAsRelayed(read)) {
                 metrics.counter("store_stale_reads_unused_total").inc();
                 readOnce(then);
                 return;
             }
             metrics.counter("store_stale_reads_total").inc();
             try {
-                apply(withNewestRollout(read), verifiedAt.get());
+                apply(directory.complete(withNewestRollout(read), true), verifiedAt.get());
             } finally {
                 then.accept(true);
             }
         });
     }
 
+    private boolean isAsRelayed(FleetReadResult read) {
+        return read.restOfDirectory().isEmpty()
+                ? read.content().equals(relayedContent)
+                : read.content().hasSameOperatorEntries(relayedContent);
+    }
+
     // The roll-out record is no part of the compared content, and its revision must not go back. Revisions of a later
     // era of the store are larger, so a record of an earlier era does not stay.
     private FleetReadResult withNewestRollout(FleetReadResult read) {
@@ -294,7 +336,7 @@
         List<KeyValue> entries = read.routerEntries().stream()
                 .map(item -> isOlderRollout(item) ? rollout.orElse(item) : item)
                 .toList();
-        return new FleetReadResult(read.view(), read.content(), entries);
+        return read.withRouterEntries(entries);
     }
 
     private boolean isOlderRollout(KeyValue item) {
@@ -306,12 +348,16 @@
         reading = true;
         readStartedMillis = timers.monotonicMillis();
         ClockReading verifiedAt = timers.now();
+        long number = ++readNumber;
         Futures.whenDone(source.read(), control, (read, failure) -> {
+            if (number != readNumber) {
+                return;
+            }
             reading = false;
             try {
                 if (failure == null) {
                     newestReadMillis = timers.monotonicMillis();
-                    apply(read, verifiedAt);
+                    apply(directory.complete(read, false), verifiedAt);
                 } else {
                     recordFailure(failure);
                 }
@@ -369,15 +415,41 @@
         content = read.content();
         ClockReading provenAt = provenAt(read.view(), verifiedAt);
         FleetView next = merge(read.view());
-        RolloutRecord record = rolloutRecord(read.routerEntries());
+        rolloutRecord = rolloutRecord(read.routerEntries());
         requestTimes = requestTimes(read.routerEntries());
-        next = new FleetView(next.config(), next.upstreams(), next.newestWeightsVersions(), record.reserved());
+        update(next, verifiedAt, provenAt, afterOutage);
+    }
+
+    private void update(FleetView merged, ClockReading verifiedAt, ClockReading provenAt, boolean afterOutage) {
+        FleetView next = new FleetView(
+                merged.config(), merged.upstreams(), merged.newestWeightsVersions(), rolloutRecord.reserved());
         logChanges(view, next, unreadMillis(verifiedAt));
         view = next;
-        state.update(next, verifiedAt, provenAt, record, requestTimes, afterOutage);
+        state.update(next, verifiedAt, provenAt, rolloutRecord, requestTimes, afterOutage);
         listeners.forEach(Runnable::run);
     }
 
+    // A possibly stale directory is used only where a relay has shown it to be the newest; otherwise the newest is
+    // read.
+    private void applyDirectory(DirectoryScan.Directory listed) {
+        Optional<ClockReading> provenAt = state.snapshot().configVerifiedAt();
+        if (closed || provenAt.isEmpty() || listed.era() != content.era()) {
+            return;
+        }
+        StoreContentId next = new StoreContentId(content.era(), content.operatorEntries(), listed.entries());
+        if (listed.mayBeStale() && !next.equals(relayedContent)) {
+            if (!reading) {
+                readOnce(read -> {});
+            }
+            return;
+        }
+        heartbeat.beat();
+        content = next;
+        FleetView merged =
+                new FleetView(view.config(), withMissing(listed.upstreams()), view.newestWeightsVersions(), Set.of());
+        update(merged, timers.now(), provenAt.get(), false);
+    }
+
     private void startEra(long era) {
         long nowMillis = timers.monotonicMillis();
         metrics.counter("store_era_changes_total").inc();
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
@@ -38,10 +38,7 @@
         if (account.isEmpty()) {
             return;
         }
-        long age = snapshot.configVerifiedAt()
-                .map(verifiedAt -> verifiedAt.ageMillis(
-                        context.timers().monotonicMillis(), context.timers().epochMillis()))
-                .orElse(Long.MAX_VALUE);
+        long age = snapshot.configAgeMillis(context.timers().now());
         if (age > context.settings().maxConfigAgeMillis()) {
             throw new AgatelaneException(
                             FailureType.PLATFORM_UNAVAILABLE,
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardContext.java
@@ -116,7 +116,8 @@
         budgets.clear();
     }
 
-    FleetSettings settings() {
+    /** The settings in force, whose limits can change. */
+    public FleetSettings settings() {
         return settings;
     }
 
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ServiceAdmission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ServiceAdmission.java
@@ -19,7 +19,6 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.random.RandomGenerator;
 
 /** This router's part of the slots of one service without engines, and the calls that wait for it. */
@@ -35,7 +34,7 @@
     private final ForwardContext context;
     private final CallConcurrency<Waiter> calls;
     private final ServiceShares shares;
-    private final AtomicBoolean scheduled = new AtomicBoolean();
+    private final PeriodicCheck check;
 
     /** A call that may have to wait. */
     interface Waiter {
@@ -48,6 +47,7 @@
         this.context = context;
         this.shares = new ServiceShares(Rendezvous.hash(service), random);
         this.calls = new CallConcurrency<>(new DecayedCallDurations(DEFAULT_CALL_MILLIS), random);
+        this.check = new PeriodicCheck(context.timers(), context.client().getExecutor(), this::check);
     }
 
     /**
@@ -143,16 +143,15 @@
     }
 
     private void scheduleCheck(long nowMillis) {
-        if (scheduled.compareAndSet(false, true)) {
+        if (!check.isPending()) {
             long pause = calls.pauseMillis(view(nowMillis), nowMillis);
             // Without a pause all calls of the part are in flight; the end of one of them releases the next.
             long delay = pause == 0 ? MAX_CHECK_MILLIS : Math.min(pause, MAX_CHECK_MILLIS);
-            context.timers().after(delay, () -> context.client().getExecutor().execute(this::check));
+            check.schedule(delay);
         }
     }
 
     private void check() {
-        scheduled.set(false);
         releaseCalls();
         if (calls.waiting() > 0) {
             scheduleCheck(context.timers().monotonicMillis());
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/WaitingCalls.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/WaitingCalls.java
@@ -4,7 +4,6 @@
 import io.agatelane.node.api.TimerService;
 import java.util.Optional;
 import java.util.concurrent.Executor;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 /** Calls of one service that wait until an engine has room, and the periodic attempts to admit them. */
 final class WaitingCalls {
@@ -12,19 +11,16 @@
     private static final long CHECK_MILLIS = 25;
 
     private final AdmissionQueue<ForwardCall> queue = new AdmissionQueue<>();
-    private final AtomicBoolean scheduled = new AtomicBoolean();
-    private final TimerService timers;
-    private final Executor executor;
+    private final PeriodicCheck check;
 
     WaitingCalls(TimerService timers, Executor executor) {
-        this.timers = timers;
-        this.executor = executor;
+        this.check = new PeriodicCheck(timers, executor, this::admit);
     }
 
     /** Adds a call, whose {@link ForwardCall#tryAdmit} is then called until it succeeds. */
     void add(ForwardCall call, int priority) {
         queue.add(call, priority);
-        scheduleCheck();
+        check.schedule(CHECK_MILLIS);
     }
 
     void remove(ForwardCall call) {
@@ -49,20 +45,13 @@
         return queue.expectedWaitMillis(priority);
     }
 
-    private void scheduleCheck() {
-        if (scheduled.compareAndSet(false, true)) {
-            timers.after(CHECK_MILLIS, () -> executor.execute(this::admit));
-        }
-    }
-
     private void admit() {
-        scheduled.set(false);
         Optional<ForwardCall> first = queue.first();
         while (first.isPresent() && first.get().tryAdmit()) {
             first = queue.first();
         }
         if (first.isPresent()) {
-            scheduleCheck();
+            check.schedule(CHECK_MILLIS);
         }
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineCacheEvents.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineCacheEvents.java
@@ -38,7 +38,7 @@
     private void updateFollowersSafely() {
         try {
             updateFollowers();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.event("engine_events_failed").error(e);
         }
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineClient.java
@@ -5,6 +5,7 @@
 import io.agatelane.node.io.http.BoundedHttpClients;
 import io.agatelane.node.io.http.FinalStatus;
 import io.agatelane.node.io.http.InterimResponses;
+import io.agatelane.node.util.Futures;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -104,10 +105,12 @@
                                     toAgatelaneException(result.getFailure()).withLocation(baseUrl));
                             return;
                         }
-                        future.complete(new SmallResponse(
-                                result.getResponse().getStatus(),
-                                result.getResponse().getHeaders(),
-                                getContentAsString(StandardCharsets.UTF_8)));
+                        Futures.complete(
+                                future,
+                                () -> new SmallResponse(
+                                        result.getResponse().getStatus(),
+                                        result.getResponse().getHeaders(),
+                                        getContentAsString(StandardCharsets.UTF_8)));
                     }
                 });
         return future;
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineTraffic.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/EngineTraffic.java
@@ -157,7 +157,7 @@
         for (ChatCall call : traffic.calls()) {
             try {
                 call.tick(nowMillis);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 LOG.event("call_check_failed").error(e);
             }
         }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/LoadPoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/LoadPoller.java
@@ -69,7 +69,7 @@
     private void pollNextSafely() {
         try {
             pollNext();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.event("load_poll_failed").error(e);
         }
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/platform/PlatformClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/platform/PlatformClient.java
@@ -11,6 +11,7 @@
 import io.agatelane.node.api.NodeContext;
 import io.agatelane.node.api.Subscription;
 import io.agatelane.node.util.EventLog;
+import io.agatelane.node.util.Futures;
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
@@ -248,11 +249,8 @@
                     @Override
                     public void onComplete(Result outcome) {
                         time.stop();
-                        try {
-                            result.complete(decodeResponse(write, key, begun.get(), outcome, getContent(), decode));
-                        } catch (AgatelaneException e) {
-                            result.completeExceptionally(e);
-                        }
+                        Futures.complete(
+                                result, () -> decodeResponse(write, key, begun.get(), outcome, getContent(), decode));
                     }
                 });
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/service/ServiceClient.java
@@ -9,6 +9,7 @@
 import io.agatelane.node.io.http.BoundedHttpClients;
 import io.agatelane.node.io.http.FinalStatus;
 import io.agatelane.node.io.http.InterimResponses;
+import io.agatelane.node.util.Futures;
 import java.net.ConnectException;
 import java.net.SocketTimeoutException;
 import java.net.URI;
@@ -160,7 +161,7 @@
             public void onComplete(Result exchange) {
                 timer.cancel();
                 if (exchange.isSucceeded()) {
-                    result.complete(toResponse(exchange.getResponse(), getContent()));
+                    Futures.complete(result, () -> toResponse(exchange.getResponse(), getContent()));
                 } else {
                     result.completeExceptionally(toException(request, exchange.getFailure()));
                 }
--- a/agatelane-node/src/main/java/io/agatelane/node/util/Futures.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/util/Futures.java
@@ -22,7 +22,7 @@
                 (value, thrown) -> {
                     try {
                         action.accept(value, thrown == null ? null : AgatelaneException.from(thrown));
-                    } catch (RuntimeException e) {
+                    } catch (RuntimeException | Error e) {
                         LOG.event("continuation_failed").error(e);
                     }
                     return null;
@@ -58,6 +58,18 @@
         return result;
     }
 
+    /**
+     * Completes a future with a value, or with the failure to compute it. For callbacks of libraries that only log what is
+     * thrown, so that the future would never end.
+     */
+    public static <T> void complete(CompletableFuture<T> future, Supplier<T> value) {
+        try {
+            future.complete(value.get());
+        } catch (RuntimeException | Error e) {
+            future.completeExceptionally(e);
+        }
+    }
+
     /** Completes a future with the value or the failure of another one. */
     public static <R> void forward(CompletableFuture<R> from, CompletableFuture<R> to) {
         var unused = from.handle((value, thrown) ->
@@ -67,7 +79,7 @@
     private static <R> CompletableFuture<R> call(Supplier<CompletableFuture<R>> supplier) {
         try {
             return supplier.get();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             return CompletableFuture.failedFuture(AgatelaneException.from(e));
         }
     }
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -4,10 +4,15 @@
 import static org.testng.Assert.assertTrue;
 
 import com.codahale.metrics.MetricRegistry;
+import io.agatelane.node.api.FleetReadResult;
+import io.agatelane.node.api.FleetSource;
+import io.agatelane.node.control.Watchdog;
 import io.agatelane.node.fakes.FakeControl;
 import io.agatelane.node.fakes.FakeKeyValueStore;
 import io.agatelane.node.fakes.FakeRouterControl;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.testng.annotations.Test;
 
 public class StorePollerTest {
@@ -35,6 +40,59 @@
         assertEquals(state.snapshot().view().newestWeightsVersions().get(FakeFleet.MODEL), (Long) 2L);
     }
 
+    // Guards against a router that never reads the store again because the end of one read was lost.
+    @Test
+    public void readThatNeverEndsDoesNotEndThePolling() {
+        FakeControl control = new FakeControl();
+        FakeFleet fleet = new FakeFleet(control, new FakeKeyValueStore(control), 1);
+        AtomicInteger reads = new AtomicInteger();
+        FleetSource source =
+                () -> reads.incrementAndGet() == 3 ? new CompletableFuture<FleetReadResult>() : fleet.read();
+        FleetState state = new FleetState();
+        MetricRegistry metrics = new MetricRegistry();
+        StorePoller poller = new StorePoller(source, state, control, control, new Random(1), POLL_MILLIS, metrics);
+        Watchdog watchdog = new Watchdog(control, metrics);
+        poller.watch(watchdog);
+        watchdog.start();
+        poller.start();
+        control.advance(3 * POLL_MILLIS);
+        fleet.requestVersion(2);
+        control.advance(5_000);
+        assertEquals(state.snapshot().view().newestWeightsVersions().get(FakeFleet.MODEL), (Long) 2L);
+        int before = reads.get();
+        control.advance(10 * POLL_MILLIS);
+        assertEquals(reads.get() - before, 10, "one loop reads");
+    }
+
+    // Guards against a configuration that waits for a long directory, and against upstreams of later pages that are not
+    // used, are used before they are listed, or stay.
+    @Test
+    public void configurationDoesNotWaitForALongDirectory() {
+        FakeControl control = new FakeControl();
+        PagedDirectory source = new PagedDirectory(control, 20, 500);
+        FleetState state = new FleetState();
+        new StorePoller(source, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry()).start();
+        control.advance(1_200);
+        assertEquals(state.snapshot().view().upstreams().size(), 3, "those of the pages that were read");
+        source.configure(2);
+        control.advance(POLL_MILLIS);
+        assertEquals(state.snapshot().config().orElseThrow().version(), 2);
+        control.advance(10_000);
+        assertEquals(state.snapshot().view().upstreams().size(), 20);
+        source.setUpstreams(5);
+        control.advance(25_000);
+        assertEquals(state.snapshot().view().upstreams().size(), 5);
+        source.failPages(true);
+        source.setUpstreams(6);
+        source.configure(3);
+        control.advance(10_000);
+        assertEquals(state.snapshot().config().orElseThrow().version(), 3);
+        assertEquals(state.snapshot().view().upstreams().size(), 5, "the last whole directory");
+        source.failPages(false);
+        control.advance(10_000);
+        assertEquals(state.snapshot().view().upstreams().size(), 6);
+    }
+
     // Guards against routers that cost the store several rejected calls a second each while it turns them away, and
     // against one that notices late that the store is back.
     @Test
