Weigh crashes by upstream and by answers before a request is refused

Cause: a request that was given up at an upstream which then ends counts as having crashed it, once at each upstream and each router. One that many callers repeat is at all upstreams at most times, so a common failure convicts it, and a refused request is never answered.

Change: a crash is identified by its upstream and counts once in the fleet. For a request that was answered in the minute before, crashes within 5 s count as one. An end does not count for a request that was answered since it was given up, or that was sent to an upstream that had been silent before. The same for shared parts of prompts and in the own interface, where an answer clears a chat now. Requests that were never answered are refused after three crashes as before.

--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/CrashReport.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/CrashReport.java
@@ -1,27 +1,31 @@
 package io.agatelane.core.fleet;
 
 /**
- * Number of times that a router has seen an upstream crash while it ran a request, or up to which number a successful
- * response has cleared the request. Receivers keep the largest number of each reporter and kind, so reports may arrive
- * several times and in any order.
+ * Tells the other routers that an upstream crashed while it ran a request, or that the crash is cleared by a successful
+ * response. Reports may arrive several times and in any order.
  *
  * @param fingerprint fingerprint of the request
- * @param reporter random number of one start of the router that saw the crashes
- * @param count number of crashes; of a clearance, the negative number
+ * @param crash identifies the crash; equal at all routers that have seen it
+ * @param ageMillis time since the crash; 0 for a clearance
+ * @param wasAnswered whether the request had been answered shortly before the crash
+ * @param isClearance whether the crash is cleared
  */
-public record CrashReport(long fingerprint, long reporter, int count) {
-    /** Creates a report that a reporter's crashes up to a number are cleared. */
-    public static CrashReport clearance(long fingerprint, long reporter, int clearedCount) {
-        return new CrashReport(fingerprint, reporter, -clearedCount);
+public record CrashReport(long fingerprint, long crash, long ageMillis, boolean wasAnswered, boolean isClearance) {
+    /** Identifies what is reported, whatever its age. */
+    public record Key(long fingerprint, long crash, boolean wasAnswered, boolean isClearance) {}
+
+    /** Creates a report of a crash. */
+    public static CrashReport crash(long fingerprint, long crash, long ageMillis, boolean wasAnswered) {
+        return new CrashReport(fingerprint, crash, ageMillis, wasAnswered, false);
     }
 
-    /** Whether this report clears the request. */
-    public boolean isClearance() {
-        return count < 0;
+    /** Creates a report that a crash is cleared. */
+    public static CrashReport clearance(long fingerprint, long crash) {
+        return new CrashReport(fingerprint, crash, 0, false, true);
     }
 
-    /** The number up to which crashes are cleared. */
-    public int clearedCount() {
-        return Math.max(0, -count);
+    /** The key of this report. */
+    public Key key() {
+        return new Key(fingerprint, crash, wasAnswered, isClearance);
     }
 }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspect.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspect.java
@@ -1,12 +1,13 @@
 package io.agatelane.core.fleet.command;
 
 import io.agatelane.core.fleet.CrashReport;
-import java.util.ArrayList;
-import java.util.HashMap;
+import io.agatelane.core.hash.Rendezvous;
+import io.agatelane.core.poison.AnswerHistory;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
-/** The crashes of one request, as counted by each router that saw some. Not thread-safe. */
+/** The crashes of upstreams that ran one request, as seen by all routers. Not thread-safe. */
 final class CrashSuspect {
     // A datagram is lost now and then, and all of a relay that has died until its members avoid it after 700 ms.
     private static final long REPEAT_MILLIS = 500;
@@ -17,13 +18,15 @@
     // A router that starts or returns learns of a refused request before it counts as being in touch, after 3 s.
     private static final long REFUSED_REPEAT_MILLIS = 2_000;
     private static final long REFUSED_REPEATED_MILLIS = 30_000;
+    // Two routers notice the same lost connection within this time; an upstream takes longer to start again.
+    private static final long SAME_CRASH_MILLIS = 1_000;
+    private static final int MAX_CRASHES = 32;
     private static final long NEVER_MILLIS = Long.MAX_VALUE;
     // Far enough in the past for a first report at any time, without an overflow.
     private static final long LONG_AGO_MILLIS = Long.MIN_VALUE / 2;
 
     private final long fingerprint;
-    private final Map<Long, Integer> crashesByReporter = new HashMap<>();
-    private final Map<Long, Integer> clearedByReporter = new HashMap<>();
+    private final Map<Long, Crash> crashes = new LinkedHashMap<>();
     private long lastCrashMillis;
     private long ownCrashMillis = LONG_AGO_MILLIS;
     private long clearedMillis = LONG_AGO_MILLIS;
@@ -35,66 +38,107 @@
         this.fingerprint = fingerprint;
     }
 
-    void recordOwn(long self, long nowMillis) {
-        crashesByReporter.merge(self, 1, Integer::sum);
-        lastCrashMillis = nowMillis;
-        ownCrashMillis = nowMillis;
-        reportedMillis = LONG_AGO_MILLIS;
+    private record Crash(long millis, boolean wasAnswered, boolean isCleared) {
+        private static final Crash CLEARED = new Crash(LONG_AGO_MILLIS, true, true);
+    }
+
+    /** Records that an upstream was seen to crash; false when another router has reported the same crash. */
+    boolean recordCrash(long upstream, boolean wasAnswered, long nowMillis) {
+        int number = 0;
+        Crash known = crashes.get(upstream);
+        while (known != null && Math.abs(nowMillis - known.millis()) >= SAME_CRASH_MILLIS) {
+            number++;
+            known = crashes.get(id(upstream, number));
+        }
+        return addOwn(id(upstream, number), new Crash(nowMillis, wasAnswered, false), nowMillis);
+    }
+
+    /**
+     * Records that an upstream has ended after the request was given up there; false when a crash of it is known.
+     *
+     * @param givenUpMillis when the request was given up
+     */
+    boolean recordEnd(long upstream, long givenUpMillis, boolean wasAnswered, long nowMillis) {
+        return addOwn(upstream, new Crash(givenUpMillis, wasAnswered, false), nowMillis);
+    }
+
+    private static long id(long upstream, int number) {
+        return number == 0 ? upstream : Rendezvous.weight(upstream, number);
+    }
+
+    private boolean addOwn(long id, Crash crash, long nowMillis) {
+        boolean isNew = add(id, crash);
+        if (isNew) {
+            lastCrashMillis = nowMillis;
+            ownCrashMillis = nowMillis;
+            reportedMillis = LONG_AGO_MILLIS;
+        }
         renew(nowMillis);
+        return isNew;
+    }
+
+    private boolean add(long id, Crash crash) {
+        return crashes.size() < MAX_CRASHES && crashes.putIfAbsent(id, crash) == null;
     }
 
     /** Merges a report; false when it tells nothing new. */
     boolean merge(CrashReport report, long nowMillis) {
-        long reporter = report.reporter();
+        Crash known = crashes.get(report.crash());
         boolean isNew;
         if (report.isClearance()) {
-            isNew = raise(clearedByReporter, reporter, report.clearedCount());
+            isNew = known == null ? add(report.crash(), Crash.CLEARED) : !known.isCleared();
+            crashes.computeIfPresent(report.crash(), (id, crash) -> Crash.CLEARED);
+        } else if (known == null) {
+            isNew = add(report.crash(), new Crash(nowMillis - report.ageMillis(), report.wasAnswered(), false));
+            lastCrashMillis = isNew ? nowMillis : lastCrashMillis;
+        } else if (known.isCleared()) {
+            // Another router has missed the clearance.
+            clearedMillis = nowMillis;
+            isNew = false;
         } else {
-            isNew = raise(crashesByReporter, reporter, report.count());
+            isNew = report.wasAnswered() && !known.wasAnswered();
             if (isNew) {
-                lastCrashMillis = nowMillis;
-            } else if (report.count() <= cleared(reporter)) {
-                // Another router has missed the clearance.
-                clearedMillis = nowMillis;
+                crashes.put(report.crash(), new Crash(known.millis(), true, false));
             }
         }
         renew(nowMillis);
         return isNew;
     }
 
-    private static boolean raise(Map<Long, Integer> counts, long reporter, int count) {
-        boolean isNew = count > counts.getOrDefault(reporter, 0);
-        if (isNew) {
-            counts.put(reporter, count);
-        }
-        return isNew;
-    }
-
-    private int cleared(long reporter) {
-        return clearedByReporter.getOrDefault(reporter, 0);
-    }
-
     void recordRefused(long nowMillis) {
         refusedMillis = nowMillis;
         renew(nowMillis);
     }
 
-    /** Disregards the crashes up to now. Their counts stay, because other routers may report them again. */
+    /** Disregards the crashes up to now. They stay known, because other routers may report them again. */
     void clear(long nowMillis) {
         if (crashes() > 1) {
             clearedMillis = nowMillis;
             reportedMillis = LONG_AGO_MILLIS;
         }
-        clearedByReporter.putAll(crashesByReporter);
+        crashes.replaceAll((id, crash) -> Crash.CLEARED);
     }
 
-    /** Number of crashes since the request was cleared. */
+    /**
+     * Number of crashes since the request was cleared. Crashes at about the same time count as one for a request that
+     * had been answered before: it is at most upstreams at most times, so it is also there when these fail together.
+     */
     int crashes() {
-        int crashes = 0;
-        for (Map.Entry<Long, Integer> entry : crashesByReporter.entrySet()) {
-            crashes += Math.max(0, entry.getValue() - cleared(entry.getKey()));
+        List<Crash> counted =
+                crashes.values().stream().filter(crash -> !crash.isCleared()).toList();
+        if (counted.stream().noneMatch(Crash::wasAnswered)) {
+            return counted.size();
+        }
+        long[] times = counted.stream().mapToLong(Crash::millis).sorted().toArray();
+        int causes = 0;
+        long firstMillis = LONG_AGO_MILLIS;
+        for (long millis : times) {
+            if (millis - firstMillis > AnswerHistory.COMMON_CAUSE_MILLIS) {
+                causes++;
+                firstMillis = millis;
+            }
         }
-        return crashes;
+        return causes;
     }
 
     boolean isExpired(long nowMillis) {
@@ -106,18 +150,18 @@
         return nowMillis - reportedMillis >= repeatMillis(nowMillis);
     }
 
-    /** Returns the reports of all routers on the request, and records that they are sent. */
+    /** Returns the reports on the request, those of other routers too, and records that they are sent. */
     List<CrashReport> takeReports(long nowMillis) {
         reportedMillis = nowMillis;
-        List<CrashReport> reports = new ArrayList<>();
-        crashesByReporter.forEach((reporter, count) -> {
-            if (count > cleared(reporter)) {
-                reports.add(new CrashReport(fingerprint, reporter, count));
-            }
-        });
-        clearedByReporter.forEach(
-                (reporter, count) -> reports.add(CrashReport.clearance(fingerprint, reporter, count)));
-        return reports;
+        return crashes.entrySet().stream()
+                .map(entry -> report(entry.getKey(), entry.getValue(), nowMillis))
+                .toList();
+    }
+
+    private CrashReport report(long id, Crash crash, long nowMillis) {
+        return crash.isCleared()
+                ? CrashReport.clearance(fingerprint, id)
+                : CrashReport.crash(fingerprint, id, Math.max(0, nowMillis - crash.millis()), crash.wasAnswered());
     }
 
     private long repeatMillis(long nowMillis) {
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
@@ -1,6 +1,7 @@
 package io.agatelane.core.fleet.command;
 
 import io.agatelane.core.fleet.CrashReport;
+import io.agatelane.core.poison.AnswerHistory;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,9 +11,10 @@
 /**
  * Requests that were running on upstreams when these crashed, as seen by all routers. Bounded and thread-safe.
  *
- * <p>A request that crashes upstreams makes one unavailable for seconds each time it runs. A harmless request that
- * happened to run on a crashing upstream is cleared by its first successful response, on all routers if some may count
- * more than one crash of it.
+ * <p>A request that crashes upstreams makes one unavailable for seconds each time it runs, and is never answered. A
+ * harmless request that happened to run on a crashing upstream is cleared by its first successful response, on all
+ * routers if some may count more than one crash of it. One that many callers repeat runs on most upstreams at most times,
+ * so ends of several upstreams at once count as one crash for a request that was answered shortly before.
  *
  * <p>Every router that knows of more than one crash of a request repeats all reports on it for some seconds, so that
  * the routers agree although datagrams are lost and relays change.
@@ -34,31 +36,44 @@
     // Two datagrams or three; what does not fit is sent with the next digest.
     private static final int MAX_REPORTS = 100;
 
-    private final long self;
+    private final AnswerHistory<Long> answers = new AnswerHistory<>();
     private final Map<Long, CrashSuspect> seenOnce = leastRecentlyUsed();
     private final Map<Long, CrashSuspect> seenAgain = leastRecentlyUsed();
     private long purgedMillis;
     private volatile boolean empty = true;
 
-    /**
-     * Creates an empty table.
-     *
-     * @param self hash that tells the reports of this start of this router from all others
-     */
-    public CrashSuspects(long self) {
-        this.self = self;
-    }
-
     /** Whether the table is empty, so that a request's fingerprint need not be computed. */
     public boolean isEmpty() {
         return empty;
     }
 
-    /** Records that an upstream crashed while it ran a request. */
-    public synchronized void recordCrash(long fingerprint, long nowMillis) {
+    /**
+     * Records that an upstream was seen to crash while it ran a request.
+     *
+     * @param upstream hash of the key of the upstream
+     */
+    public synchronized void recordCrash(long fingerprint, long upstream, long nowMillis) {
+        CrashSuspect suspect = suspect(fingerprint, nowMillis);
+        suspect.recordCrash(upstream, answers.speaksFor(fingerprint, nowMillis), nowMillis);
+        store(fingerprint, suspect);
+    }
+
+    /**
+     * Records that an upstream has ended after a request was given up there. An answer since then, from any upstream,
+     * shows that the end had another cause.
+     *
+     * @param upstream hash of the key of the upstream
+     * @return whether the end counts as a crash by the request
+     */
+    public synchronized boolean recordEnd(long fingerprint, long upstream, long givenUpMillis, long nowMillis) {
+        if (answers.hasAnswerSince(fingerprint, givenUpMillis)) {
+            return false;
+        }
         CrashSuspect suspect = suspect(fingerprint, nowMillis);
-        suspect.recordOwn(self, nowMillis);
+        boolean wasAnswered = answers.speaksFor(fingerprint, givenUpMillis);
+        boolean counts = suspect.recordEnd(upstream, givenUpMillis, wasAnswered, nowMillis);
         store(fingerprint, suspect);
+        return counts;
     }
 
     /** Merges a report, which may be one of this router. */
@@ -69,8 +84,9 @@
         }
     }
 
-    /** Records a successful response, which clears the request. */
+    /** Records a successful response, which clears the request and speaks for it at later crashes. */
     public synchronized void recordSuccess(long fingerprint, long nowMillis) {
+        answers.record(fingerprint, nowMillis);
         CrashSuspect suspect = known(fingerprint);
         if (suspect != null) {
             suspect.clear(nowMillis);
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PartSuspects.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PartSuspects.java
@@ -5,6 +5,7 @@
 import io.agatelane.core.fleet.query.PartQuarantine;
 import io.agatelane.core.fleet.query.PartQuarantine.EngineEnd;
 import io.agatelane.core.hash.Rendezvous;
+import io.agatelane.core.poison.AnswerHistory;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -40,6 +41,7 @@
 
     private final Map<Long, EngineEnd> ends = bounded(MAX_ENDS);
     private final Map<Long, Long> clearedMillis = bounded(MAX_CLEARED);
+    private final AnswerHistory<Long> answers = new AnswerHistory<>();
     private final Map<PartAtEngine, Long> ownSinceMillis = bounded(MAX_REPEATED);
     private final Set<PartAtEngine> unsentEnds = new LinkedHashSet<>();
     private final Set<Long> unsentClearances = new LinkedHashSet<>();
@@ -66,16 +68,12 @@
     }
 
     /** Records that a prompt with these parts was answered completely. */
-    public void recordAnswer(Collection<Long> parts, long nowMillis) {
-        if (empty) {
-            return;
-        }
-        synchronized (this) {
-            for (long part : parts) {
-                if (clear(part, nowMillis)) {
-                    unsentClearances.add(part);
-                    update(nowMillis);
-                }
+    public synchronized void recordAnswer(Collection<Long> parts, long nowMillis) {
+        for (long part : parts) {
+            answers.record(part, nowMillis);
+            if (!empty && clear(part, nowMillis)) {
+                unsentClearances.add(part);
+                update(nowMillis);
             }
         }
     }
@@ -195,7 +193,7 @@
 
     private void update(long nowMillis) {
         ends.values().removeIf(end -> nowMillis - end.millis() >= maxAgeMillis(end));
-        Set<Long> quarantined = PartQuarantine.quarantined(ends.values());
+        Set<Long> quarantined = PartQuarantine.quarantined(ends.values(), answers::speaksFor);
         Map<Long, Long> untilMillis = new HashMap<>();
         for (EngineEnd end : ends.values()) {
             for (long part : end.parts()) {
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/UpstreamLoad.java
@@ -23,6 +23,8 @@
     // What is left of a response that takes longer than expected, as a share of the expected time.
     private static final double MIN_REMAINING_SHARE = 0.2;
 
+    private static final long NEVER_MILLIS = Long.MIN_VALUE / 2;
+
     private final Map<Object, Long> unansweredSinceMillis = new HashMap<>();
     private final Map<Object, Output> outputs = new HashMap<>();
     private final UpstreamSpeed speed = new UpstreamSpeed();
@@ -34,6 +36,7 @@
     private long lastReportMillis;
     private double failures;
     private long failuresUpdatedMillis;
+    private long lastResponseMillis = NEVER_MILLIS;
 
     // A response that has started, and how long it is expected to take from then on.
     private record Output(long startedMillis, double millis) {
@@ -53,6 +56,11 @@
 
     /** Records that the response to a request has started; further calls for the same request have no effect. */
     public synchronized void recordResponseStarted(Object request, RequestWork work, long nowMillis) {
+        lastResponseMillis = nowMillis;
+        endWait(request, work, nowMillis);
+    }
+
+    private void endWait(Object request, RequestWork work, long nowMillis) {
         if (unansweredSinceMillis.remove(request) != null) {
             unansweredMillis -= work.prefillMillis() + work.outputMillis();
             outputs.put(request, new Output(nowMillis, work.outputMillis()));
@@ -62,7 +70,7 @@
 
     /** Records the end of a request that was counted as sent. */
     public synchronized void recordEnded(Object request, RequestWork work, long nowMillis) {
-        recordResponseStarted(request, work, nowMillis);
+        endWait(request, work, nowMillis);
         outputs.remove(request);
         inFlight--;
         memoryTokens -= work.memoryTokens();
@@ -89,6 +97,11 @@
         speed.recordDuration(factor, weight, nowMillis);
     }
 
+    /** Whether no response has started since a time. */
+    public synchronized boolean hasBeenSilentSince(long millis) {
+        return lastResponseMillis < millis;
+    }
+
     /** Records a failure caused by the upstream itself. */
     public synchronized void recordFailure(long nowMillis) {
         failures = failures(nowMillis) + 1;
--- a/agatelane-core/src/main/java/io/agatelane/core/poison/SuspectTable.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/poison/SuspectTable.java
@@ -48,6 +48,13 @@
         }
     }
 
+    private final AnswerHistory<String> answers = new AnswerHistory<>();
+
+    /** When requests were answered, by fingerprint. */
+    public AnswerHistory<String> answers() {
+        return answers;
+    }
+
     public Map<String, Suspect> suspects() {
         return suspects;
     }
--- a/agatelane-core/src/main/java/io/agatelane/core/poison/command/CrashRecorder.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/poison/command/CrashRecorder.java
@@ -1,5 +1,6 @@
 package io.agatelane.core.poison.command;
 
+import io.agatelane.core.poison.AnswerHistory;
 import io.agatelane.core.poison.SuspectTable;
 import io.agatelane.core.poison.SuspectTable.Suspect;
 
@@ -15,6 +16,9 @@
     public Suspect recordCrash(String fingerprint, long nowMillis) {
         synchronized (table) {
             Suspect known = current(fingerprint, nowMillis);
+            if (isOfCommonCause(fingerprint, known, nowMillis)) {
+                return known;
+            }
             Suspect next = new Suspect(
                     known.localCrashes() + 1,
                     known.remoteCrashes(),
@@ -37,6 +41,9 @@
         }
         synchronized (table) {
             Suspect known = current(fingerprint, nowMillis);
+            if (crashes < SuspectTable.QUARANTINE_CRASHES && isOfCommonCause(fingerprint, known, nowMillis)) {
+                return false;
+            }
             long expiresMillis = Math.max(
                     known.expiresMillis(), nowMillis + Math.min(remainingMillis, SuspectTable.QUARANTINE_MILLIS));
             long lastCrashMillis = crashes > known.remoteCrashes() ? nowMillis : known.lastCrashMillis();
@@ -49,6 +56,22 @@
         }
     }
 
+    /** Records that a request was answered, which clears it at this router and speaks for it at later crashes. */
+    public void recordAnswer(String fingerprint, long nowMillis) {
+        synchronized (table) {
+            table.answers().record(fingerprint, nowMillis);
+            table.suspects().remove(fingerprint);
+        }
+    }
+
+    // A request that many callers repeat runs on most engines at most times, so it is also there when these fail
+    // together.
+    private boolean isOfCommonCause(String fingerprint, Suspect known, long nowMillis) {
+        return known.crashes() > 0
+                && nowMillis - known.lastCrashMillis() <= AnswerHistory.COMMON_CAUSE_MILLIS
+                && table.answers().speaksFor(fingerprint, known.lastCrashMillis());
+    }
+
     /** Records that a quarantined request came again and was refused. */
     public void recordRefused(String fingerprint, long nowMillis) {
         synchronized (table) {
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/PartSuspectsTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/PartSuspectsTest.java
@@ -66,6 +66,19 @@
         assertFalse(isQuarantined(suspects, FIRST, 20));
     }
 
+    // Guards against the refusal of all prompts with a part that many prompts share after engines have failed one soon
+    // after the other: a refused part is never answered, so nothing would clear it.
+    @Test
+    public void partOfManyPromptsIsNotBlamedForEnginesThatFailTogether() {
+        PartSuspects suspects = new PartSuspects();
+        suspects.recordAnswer(Set.of(FIRST), 0);
+        for (int engine = 0; engine < 4; engine++) {
+            suspects.recordEnd(Set.of(FIRST, DEADLY), 100 + engine, 2_000 + engine * STEP_MILLIS);
+        }
+        assertFalse(isQuarantined(suspects, FIRST, 6_000));
+        assertTrue(isQuarantined(suspects, DEADLY, 6_000));
+    }
+
     // Guards against prompts that are refused because connections were reset while the engines went on.
     @Test
     public void engineThatRespondsAgainHasNotEnded() {
--- a/agatelane-core/src/test/java/io/agatelane/core/poison/QuarantineTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/poison/QuarantineTest.java
@@ -26,6 +26,20 @@
         assertTrue(check.isQuarantined("split", 11));
     }
 
+    // Guards against a sound request that many callers repeat and that is refused because engines failed together.
+    @Test
+    public void answeredRequestIsNotBlamedForEnginesThatFailTogether() {
+        recorder.recordAnswer("popular", 0);
+        recorder.recordCrash("popular", 1_000);
+        recorder.recordCrash("popular", 2_000);
+        assertFalse(recorder.mergeRemoteCrashes("popular", 1, 600_000, 2_500));
+        assertFalse(check.isQuarantined("popular", 3_000));
+        recorder.recordCrash("popular", 8_000);
+        assertTrue(check.isQuarantined("popular", 8_000));
+        recorder.recordAnswer("popular", 9_000);
+        assertFalse(check.isSuspect("popular", 9_000));
+    }
+
     // Guards against a repeated report that counts one crash twice.
     @Test
     public void repeatedReportCountsOnce() {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestCodec.java
@@ -28,6 +28,8 @@
 
 /** Converts between the parts of a gossiped load digest and the router's own types. */
 final class DigestCodec {
+    private static final int CRASHED = 1;
+    private static final int CLEARED = -1;
     private static final double PERCENT = 100;
     // An older report of a momentary slowness says nothing any more, so it is not passed on.
     private static final long MAX_SLOWNESS_AGE_MILLIS = 3_000;
@@ -101,8 +103,10 @@
         return events.crashes().stream()
                 .map(report -> CrashReportEntry.newBuilder()
                         .setFingerprint(report.fingerprint())
-                        .setReporter(report.reporter())
-                        .setCount(report.count())
+                        .setCrash(report.crash())
+                        .setCount(report.isClearance() ? CLEARED : CRASHED)
+                        .setAgeMillis((int) Math.min(Integer.MAX_VALUE, report.ageMillis()))
+                        .setAnswered(report.wasAnswered())
                         .build())
                 .toList();
     }
@@ -127,7 +131,12 @@
                         .map(entry -> new Placement(entry.getPart(), entry.getHolder(), entry.getTokens()))
                         .toList(),
                 digest.getCrashesList().stream()
-                        .map(entry -> new CrashReport(entry.getFingerprint(), entry.getReporter(), entry.getCount()))
+                        .map(entry -> new CrashReport(
+                                entry.getFingerprint(),
+                                entry.getCrash(),
+                                Math.max(0, entry.getAgeMillis()),
+                                entry.getAnswered(),
+                                entry.getCount() < 0))
                         .toList(),
                 digest.getPartReportsList().stream().map(DigestCodec::decode).toList());
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DigestEvents.java
@@ -4,9 +4,10 @@
 import io.agatelane.core.fleet.PartReport;
 import io.agatelane.core.fleet.PlacementIndex.Placement;
 import java.util.ArrayList;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
+import java.util.function.Function;
 
 /** Events that a digest reports: uses of prompt parts, crashes of upstreams, and parts under which engines ended. */
 record DigestEvents(List<Placement> placements, List<CrashReport> crashes, List<PartReport> partReports) {
@@ -23,8 +24,8 @@
     DigestEvents plus(DigestEvents other) {
         return new DigestEvents(
                 joined(placements, other.placements),
-                distinct(crashes, other.crashes),
-                distinct(partReports, other.partReports));
+                distinct(crashes, other.crashes, CrashReport::key),
+                distinct(partReports, other.partReports, report -> report));
     }
 
     /** Returns the events that may be received several times. */
@@ -33,10 +34,11 @@
     }
 
     // Many routers repeat the same report, and a relay passes it on once.
-    private static <T> List<T> distinct(List<T> first, List<T> second) {
-        Set<T> all = new LinkedHashSet<>(first);
-        all.addAll(second);
-        return all.stream().limit(MAX_EVENTS).toList();
+    private static <T> List<T> distinct(List<T> first, List<T> second, Function<T, Object> key) {
+        Map<Object, T> all = new LinkedHashMap<>();
+        first.forEach(event -> all.putIfAbsent(key.apply(event), event));
+        second.forEach(event -> all.putIfAbsent(key.apply(event), event));
+        return all.values().stream().limit(MAX_EVENTS).toList();
     }
 
     private static <T> List<T> joined(List<T> first, List<T> second) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -27,7 +27,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Collectors;
 
 /**
@@ -49,9 +48,7 @@
     private final PeerEntries<Long, AccountDemand> peerAccounts = new PeerEntries<>(AccountDemand::plus);
     private final PeerEntries<ServiceDemand.Key, ServiceDemand> peerServices = new PeerEntries<>(ServiceDemand::plus);
     private final PlacementIndex placements = new PlacementIndex();
-    // A random number for each start: a router that counts from one again is another reporter.
-    private final CrashSuspects suspects =
-            new CrashSuspects(ThreadLocalRandom.current().nextLong());
+    private final CrashSuspects suspects = new CrashSuspects();
     private final PartSuspects partSuspects = new PartSuspects();
     private final AbandonedRequests abandoned = new AbandonedRequests();
     private final UpstreamNotices notices = new UpstreamNotices();
@@ -83,11 +80,13 @@
     /** Records that an upstream has ended without notice, maybe by a request that was given up there. */
     public void recordEnded(FleetUpstream upstream, long nowMillis) {
         abandoned.takeEnded(upstream.key(), nowMillis).forEach(request -> {
-            suspects.recordCrash(request.fingerprint(), nowMillis);
+            boolean counts =
+                    suspects.recordEnd(request.fingerprint(), keyHash(upstream), request.sinceMillis(), nowMillis);
             LOG.event("abandoned_request_suspected")
                     .with("upstream", upstream.key())
                     .with("fingerprint", Long.toHexString(request.fingerprint()))
                     .with("after_ms", Math.max(0, nowMillis - request.sinceMillis()))
+                    .with("counts", counts)
                     .info();
         });
     }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/CrashGuard.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/CrashGuard.java
@@ -17,11 +17,16 @@
 
 /** Keeps one request away from upstreams if it, or a part of its prompt, has crashed several of them. */
 final class CrashGuard {
+    // Hashing a longer body of each answered request takes too much processor time.
+    private static final int MAX_REMEMBERED_BODY_BYTES = 64 << 10;
+
     private final ForwardContext context;
     private final Request request;
     private final Optional<FleetAccount> account;
     private final byte[] body;
     private final List<Long> sharedParts;
+    private long fingerprint;
+    private boolean hasFingerprint;
 
     CrashGuard(
             ForwardContext context,
@@ -69,17 +74,21 @@
         long fingerprint = fingerprint();
         ForwardLog.upstreamLost(attempt, caller, fingerprint, hasEvent);
         long nowMillis = context.timers().monotonicMillis();
-        context.state().suspects().recordCrash(fingerprint, nowMillis);
+        long upstream = FleetState.keyHash(attempt.upstream());
+        context.state().suspects().recordCrash(fingerprint, upstream, nowMillis);
         if (isPrompt && !hasEvent) {
-            context.state().partSuspects().recordEnd(sharedParts, FleetState.keyHash(attempt.upstream()), nowMillis);
+            context.state().partSuspects().recordEnd(sharedParts, upstream, nowMillis);
         }
     }
 
     /**
      * Records that the request is given up at an upstream that has not begun to write a response, so that a crash by it
-     * cannot be seen.
+     * cannot be seen. An upstream that was silent already when the request was sent has not crashed because of it.
      */
     void recordAbandoned(UpstreamAttempt attempt) {
+        if (attempt.wasUpstreamSilent()) {
+            return;
+        }
         long nowMillis = context.timers().monotonicMillis();
         context.state()
                 .abandoned()
@@ -98,7 +107,9 @@
      * @param isWholeAnswer whether the prompt was answered
      */
     void recordComplete(boolean isSound, boolean isWholeAnswer) {
-        if (isSound && !context.state().suspects().isEmpty()) {
+        if (isSound
+                && (body.length <= MAX_REMEMBERED_BODY_BYTES
+                        || !context.state().suspects().isEmpty())) {
             context.state()
                     .suspects()
                     .recordSuccess(fingerprint(), context.timers().monotonicMillis());
@@ -111,6 +122,11 @@
     }
 
     private long fingerprint() {
-        return Fingerprint.of(request.getMethod(), request.getHttpURI().getPathQuery(), account, body);
+        if (!hasFingerprint) {
+            fingerprint =
+                    Fingerprint.of(request.getMethod(), request.getHttpURI().getPathQuery(), account, body);
+            hasFingerprint = true;
+        }
+        return fingerprint;
     }
 }
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/UpstreamAttempt.java
@@ -50,6 +50,8 @@
     // A thread that writes bytes of the heap keeps a direct buffer of the same size; a whole body would take several MB
     // of memory outside the heap for each thread.
     private static final int WRITE_BYTES = 64 << 10;
+    // A busy upstream begins some response within this time.
+    private static final long SILENT_MILLIS = 1_000;
 
     private final ForwardContext context;
     private final UpstreamChoice choice;
@@ -161,6 +163,15 @@
         return requestBegun.get();
     }
 
+    /**
+     * Whether the upstream had left requests unanswered for some time when this one was sent, and has not responded to
+     * any request since.
+     */
+    boolean wasUpstreamSilent() {
+        return choice.candidate().estimate().oldestUnansweredMillis() > SILENT_MILLIS
+                && load.hasBeenSilentSince(startedMillis - SILENT_MILLIS);
+    }
+
     /** Whether the head of a response has arrived. */
     boolean hasResponse() {
         return responseStarted;
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/ChatCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/ChatCall.java
@@ -564,6 +564,7 @@
         long nowMillis = traffic.nowMillis();
         primary.recordService(nowMillis);
         traffic.metrics().completed.inc();
+        traffic.recordAnswer(request);
         traffic.closeAfterGrace(primary.stream());
         mayHaveRun = true;
         end();
--- a/agatelane-node/src/main/java/io/agatelane/node/io/engine/TrafficContext.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/engine/TrafficContext.java
@@ -169,6 +169,11 @@
                 && calls.stream().anyMatch(other -> other != call && other.hasFingerprint(fingerprint));
     }
 
+    /** Records that a request was answered completely. */
+    void recordAnswer(ChatRequest request) {
+        admission.crashes().recordAnswer(request.fingerprint().hex(), nowMillis());
+    }
+
     /** Records that a request was running when its engine crashed, and publishes it to the other routers. */
     void recordCrash(ChatCall call, ChatRequest request, Engine engine) {
         metrics.crashes.inc();
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/CrashReportSpreadTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/CrashReportSpreadTest.java
@@ -23,9 +23,11 @@
     private static final long ALLOWED_MILLIS = 3_000;
 
     private GossipCluster cluster;
+    private long crashed;
 
     @BeforeMethod
     public void start() {
+        crashed = 0;
         cluster = new GossipCluster(ROUTERS);
     }
 
@@ -141,7 +143,7 @@
         crash(restarted);
         cluster.control.advance(1_000);
         FleetState after = new FleetState();
-        after.suspects().recordCrash(REQUEST, cluster.control.monotonicMillis());
+        after.suspects().recordCrash(REQUEST, ++crashed, cluster.control.monotonicMillis());
         Router other = cluster.routers.get(30);
         after.suspects()
                 .takeReports(cluster.control.monotonicMillis())
@@ -174,7 +176,7 @@
     }
 
     private void crash(Router router) {
-        router.state.suspects().recordCrash(REQUEST, cluster.control.monotonicMillis());
+        router.state.suspects().recordCrash(REQUEST, ++crashed, cluster.control.monotonicMillis());
     }
 
     private List<String> running(List<Router> routers) {
