Keep the known directory when a stale scan is not confirmed

Found by reading the change: a possibly stale scan of a directory of several pages that a relay did not confirm was not applied, but replaced the directory that the next reads use, and the newest one was not read before the pause after the scan.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/DirectoryScan.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/DirectoryScan.java
@@ -14,7 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * Reads a directory of upstreams that is longer than one read of the store, page by page. Runs on the control thread.
@@ -31,7 +31,7 @@
     private final FleetSource source;
     private final TimerService timers;
     private final Executor control;
-    private final Consumer<Directory> listener;
+    private final Predicate<Directory> listener;
     private Optional<Directory> complete = Optional.empty();
     private Optional<Progress> progress = Optional.empty();
     private long pausedUntilMillis = Long.MIN_VALUE;
@@ -66,9 +66,9 @@
     /**
      * Creates a scan that is not running.
      *
-     * @param listener called when there is a more recent directory to use
+     * @param listener called with each directory that is more recent; returns whether it can be used
      */
-    DirectoryScan(FleetSource source, TimerService timers, Executor control, Consumer<Directory> listener) {
+    DirectoryScan(FleetSource source, TimerService timers, Executor control, Predicate<Directory> listener) {
         this.source = source;
         this.timers = timers;
         this.control = control;
@@ -141,21 +141,22 @@
             running.after = page.next().get();
             readPage(running);
             if (complete.isEmpty() && !page.upstreams().isEmpty()) {
-                listener.accept(running.found);
+                var unused = listener.test(running.found);
             }
             return;
         }
         progress = Optional.empty();
-        complete = Optional.of(running.found);
         long tookMillis = timers.monotonicMillis() - running.startedMillis;
-        pausedUntilMillis = timers.monotonicMillis() + tookMillis;
+        if (listener.test(running.found)) {
+            complete = Optional.of(running.found);
+            pausedUntilMillis = timers.monotonicMillis() + tookMillis;
+        }
         if (tookMillis >= SLOW_MILLIS) {
             LOG.event("directory_scan_slow")
                     .with("took_ms", tookMillis)
                     .with("upstreams", running.found.upstreams().size())
                     .warning();
         }
-        listener.accept(running.found);
     }
 
     /** Forgets a page that was requested and never returned, so that the next read of the store requests it again. */
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -25,7 +25,6 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.random.RandomGenerator;
-import java.util.stream.Collectors;
 
 /**
  * Polls the platform's store to keep the router's state current. Runs on the control thread.
@@ -79,6 +78,7 @@
     private final MetricRegistry metrics;
     private final DirectoryScan directory;
     private final List<Runnable> listeners = new ArrayList<>();
+    private final List<Consumer<List<KeyValue>>> entryListeners = new ArrayList<>();
     private final KnownUpstreams knownUpstreams = new KnownUpstreams();
     private FleetView view = FleetView.EMPTY;
     private List<KeyValue> routerEntries = List.of();
@@ -131,6 +131,14 @@
         listeners.add(listener);
     }
 
+    /**
+     * Calls the listener on the control thread with the routers' entries of each successful read, before the state is
+     * updated, so that it holds before the first request is served.
+     */
+    void subscribeToRouterEntries(Consumer<List<KeyValue>> listener) {
+        entryListeners.add(listener);
+    }
+
     /** Reads at once and then periodically. */
     public void start() {
         control.execute(this::read);
@@ -346,6 +354,7 @@
 
     private void readOnce(Consumer<Boolean> then) {
         reading = true;
+        heartbeat.beat();
         readStartedMillis = timers.monotonicMillis();
         ClockReading verifiedAt = timers.now();
         long number = ++readNumber;
@@ -413,6 +422,7 @@
         }
         routerEntries = read.routerEntries();
         content = read.content();
+        entryListeners.forEach(listener -> listener.accept(routerEntries));
         ClockReading provenAt = provenAt(read.view(), verifiedAt);
         FleetView next = merge(read.view());
         rolloutRecord = rolloutRecord(read.routerEntries());
@@ -423,7 +433,7 @@
     private void update(FleetView merged, ClockReading verifiedAt, ClockReading provenAt, boolean afterOutage) {
         FleetView next = new FleetView(
                 merged.config(), merged.upstreams(), merged.newestWeightsVersions(), rolloutRecord.reserved());
-        logChanges(view, next, unreadMillis(verifiedAt));
+        FleetViewLog.logChanges(view, next, unreadMillis(verifiedAt));
         view = next;
         state.update(next, verifiedAt, provenAt, rolloutRecord, requestTimes, afterOutage);
         listeners.forEach(Runnable::run);
@@ -431,23 +441,23 @@
 
     // A possibly stale directory is used only where a relay has shown it to be the newest; otherwise the newest is
     // read.
-    private void applyDirectory(DirectoryScan.Directory listed) {
+    private boolean applyDirectory(DirectoryScan.Directory listed) {
         Optional<ClockReading> provenAt = state.snapshot().configVerifiedAt();
         if (closed || provenAt.isEmpty() || listed.era() != content.era()) {
-            return;
+            return false;
         }
         StoreContentId next = new StoreContentId(content.era(), content.operatorEntries(), listed.entries());
         if (listed.mayBeStale() && !next.equals(relayedContent)) {
             if (!reading) {
                 readOnce(read -> {});
             }
-            return;
+            return false;
         }
-        heartbeat.beat();
         content = next;
         FleetView merged =
                 new FleetView(view.config(), withMissing(listed.upstreams()), view.newestWeightsVersions(), Set.of());
         update(merged, timers.now(), provenAt.get(), false);
+        return true;
     }
 
     private void startEra(long era) {
@@ -541,53 +551,4 @@
                 .map(previous -> previous.ageMillis(verifiedAt.monotonicMillis(), verifiedAt.epochMillis()))
                 .orElse(UNKNOWN_MILLIS);
     }
-
-    private static void logChanges(FleetView before, FleetView after, long unreadMillis) {
-        long oldVersion = before.config().map(config -> config.version()).orElse(0L);
-        long newVersion = after.config().map(config -> config.version()).orElse(0L);
-        if (oldVersion != newVersion) {
-            LOG.event("config_applied")
-                    .with("version", newVersion)
-                    .with("before", oldVersion)
-                    .with("routes", after.config().get().routeCount())
-                    .info();
-        }
-        after.newestWeightsVersions().forEach((model, version) -> {
-            if (!version.equals(before.newestWeightsVersions().get(model))) {
-                LOG.event("weights_named")
-                        .with("model", model)
-                        .with("version", version)
-                        .with("unread_ms", unreadMillis)
-                        .info();
-            }
-        });
-        Map<String, FleetUpstream> known = byKey(before);
-        Map<String, FleetUpstream> now = byKey(after);
-        now.forEach((key, upstream) -> {
-            if (!upstream.equals(known.get(key))) {
-                logUpstream("upstream_changed", upstream);
-            }
-        });
-        known.forEach((key, upstream) -> {
-            if (!now.containsKey(key)) {
-                logUpstream("upstream_gone", upstream);
-            }
-        });
-    }
-
-    private static Map<String, FleetUpstream> byKey(FleetView view) {
-        return view.upstreams().stream()
-                .collect(Collectors.toMap(FleetUpstream::key, upstream -> upstream, (a, b) -> b));
-    }
-
-    private static void logUpstream(String event, FleetUpstream upstream) {
-        LOG.event(event)
-                .with("upstream", upstream.key())
-                .with("service", upstream.service())
-                .with("address", upstream.address())
-                .with("zone", upstream.zone())
-                .with("draining", upstream.draining())
-                .with("weights", upstream.weightsVersions())
-                .info();
-    }
 }
