Keep refused requests and parts of prompts in the store

Cause: crashes were kept in memory and in datagrams only.

Change: the crashes for which requests are refused, and the ends of engines for which parts of prompts are, are kept in one bounded entry of the store, hashes and times only. Any router that knows of one which the store lacks reads the entry and writes it, after a random time and at most once a second; it removes what it knows to be cleared or too old. The entry is read with the configuration, before a restarted router serves its first request.

--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/CrashingRequestTest.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/CrashingRequestTest.java
@@ -37,6 +37,7 @@
     private static final String KEY = "secret";
     private static final int ALLOWED_CRASHES = 3;
     private static final int ALLOWED_RETRIES = 3;
+    private static final int RETRIES_AFTER_RESTART = 12;
     private static final long CONTACT_NANOS = TimeUnit.SECONDS.toNanos(3);
     private static final long RESTART_MILLIS = 1_500;
     private static final long FREEZE_MILLIS = 1_200;
@@ -78,17 +79,7 @@
         stopped = false;
         timers = Executors.newScheduledThreadPool(SOUND_CALLERS + 4);
         try (SoakFleet started = new SoakFleet(directory)) {
-            fleet = started;
-            for (int i = 0; i < UPSTREAMS; i++) {
-                startUpstream("i-" + i);
-            }
-            fleet.configure(1, List.of(KEY), () -> {});
-            for (int i = 0; i < ROUTERS; i++) {
-                fleet.addRouter("z" + i % ZONES);
-            }
-            for (SoakFleet.Router router : fleet.routers()) {
-                awaitService(router);
-            }
+            startAll(started);
             List<Future<Void>> callers = new ArrayList<>();
             for (int i = 0; i < SOUND_CALLERS; i++) {
                 UniformRandomProvider own = RandomSource.XO_RO_SHI_RO_128_PP.create(seed + 1_000 + i);
@@ -101,16 +92,74 @@
             }
             System.out.println("crashing request=" + name + " seed=" + seed + " routers=" + ROUTERS + " crashes="
                     + crashes(path) + " late_retries=" + lateRetries + " sound=" + sound + " served=" + soundServed);
-            assertTrue(crashes(path) >= ALLOWED_CRASHES, "the request crashed " + crashes(path) + " upstreams only");
-            assertTrue(
-                    lateRetries <= ALLOWED_RETRIES, lateRetries + " retries reached upstreams, logs in " + directory);
+            assertStopped(path, lateRetries);
         } finally {
-            timers.shutdownNow();
-            timers.awaitTermination(10, TimeUnit.SECONDS);
-            for (ChildProcess upstream : upstreams) {
-                upstream.close();
+            stopUpstreams();
+        }
+    }
+
+    // Guards against a request that is run again after each restart of all routers.
+    @Test
+    public void crashingRequestStaysRefusedWhenAllRoutersAreKilled() throws Exception {
+        String path = "/again/deadly-0";
+        directory = Files.createDirectories(Path.of("target", "soak", "crash-restarts"));
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(1);
+        crashes.clear();
+        disturbedNanos.clear();
+        timers = Executors.newScheduledThreadPool(4);
+        try (SoakFleet started = new SoakFleet(directory)) {
+            startAll(started);
+            int lateRetries = sendAgainAndAgain("GET", path, DEADLINE_MILLIS, random);
+            for (int restart = 0; restart < 2; restart++) {
+                for (SoakFleet.Router router : fleet.routers()) {
+                    fleet.kill(router);
+                }
+                for (SoakFleet.Router router : fleet.routers()) {
+                    fleet.start(router);
+                }
+                for (SoakFleet.Router router : fleet.routers()) {
+                    awaitService(router);
+                }
+                int before = crashes(path);
+                for (int i = 0; i < RETRIES_AFTER_RESTART; i++) {
+                    send(fleet.routers().get(i % ROUTERS), "GET", path, DEADLINE_MILLIS);
+                    TimeUnit.MILLISECONDS.sleep(300);
+                }
+                lateRetries += crashes(path) - before;
             }
-            upstreams.clear();
+            System.out.println(
+                    "crashing request with restarts: crashes=" + crashes(path) + " late_retries=" + lateRetries);
+            assertStopped(path, lateRetries);
+        } finally {
+            stopUpstreams();
+        }
+    }
+
+    private void assertStopped(String path, int lateRetries) {
+        assertTrue(crashes(path) >= ALLOWED_CRASHES, "the request crashed " + crashes(path) + " upstreams only");
+        assertTrue(lateRetries <= ALLOWED_RETRIES, lateRetries + " retries reached upstreams, logs in " + directory);
+    }
+
+    private void stopUpstreams() throws Exception {
+        timers.shutdownNow();
+        timers.awaitTermination(10, TimeUnit.SECONDS);
+        for (ChildProcess upstream : upstreams) {
+            upstream.close();
+        }
+        upstreams.clear();
+    }
+
+    private void startAll(SoakFleet started) throws Exception {
+        fleet = started;
+        for (int i = 0; i < UPSTREAMS; i++) {
+            startUpstream("i-" + i);
+        }
+        fleet.configure(1, List.of(KEY), () -> {});
+        for (int i = 0; i < ROUTERS; i++) {
+            fleet.addRouter("z" + i % ZONES);
+        }
+        for (SoakFleet.Router router : fleet.routers()) {
+            awaitService(router);
         }
     }
 
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspect.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspect.java
@@ -3,6 +3,7 @@
 import io.agatelane.core.fleet.CrashReport;
 import io.agatelane.core.hash.Rendezvous;
 import io.agatelane.core.poison.AnswerHistory;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -27,7 +28,7 @@
 
     private final long fingerprint;
     private final Map<Long, Crash> crashes = new LinkedHashMap<>();
-    private long lastCrashMillis;
+    private long lastCrashMillis = LONG_AGO_MILLIS;
     private long ownCrashMillis = LONG_AGO_MILLIS;
     private long clearedMillis = LONG_AGO_MILLIS;
     private long refusedMillis = LONG_AGO_MILLIS;
@@ -90,7 +91,7 @@
             crashes.computeIfPresent(report.crash(), (id, crash) -> Crash.CLEARED);
         } else if (known == null) {
             isNew = add(report.crash(), new Crash(nowMillis - report.ageMillis(), report.wasAnswered(), false));
-            lastCrashMillis = isNew ? nowMillis : lastCrashMillis;
+            lastCrashMillis = isNew ? Math.max(lastCrashMillis, nowMillis - report.ageMillis()) : lastCrashMillis;
         } else if (known.isCleared()) {
             // Another router has missed the clearance.
             clearedMillis = nowMillis;
@@ -141,6 +142,21 @@
         return causes;
     }
 
+    boolean isCleared(long crash) {
+        Crash known = crashes.get(crash);
+        return known != null && known.isCleared();
+    }
+
+    /** Returns reports of the latest crashes that are not cleared. */
+    List<CrashReport> latestCrashes(int maxCrashes, long nowMillis) {
+        return crashes.entrySet().stream()
+                .filter(entry -> !entry.getValue().isCleared())
+                .sorted(Comparator.comparing(entry -> -entry.getValue().millis()))
+                .limit(maxCrashes)
+                .map(entry -> report(entry.getKey(), entry.getValue(), nowMillis))
+                .toList();
+    }
+
     boolean isExpired(long nowMillis) {
         return expiresMillis <= nowMillis;
     }
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/CrashSuspects.java
@@ -29,6 +29,9 @@
     /** Longest time for which a request is stored after its last crash, so that a harmless one is run again. */
     public static final long MAX_RETENTION_MILLIS = 600_000;
 
+    /** Number of crashes of one request that are enough to refuse it again. */
+    static final int MAX_KEPT_CRASHES = 6;
+
     private static final long PURGE_MILLIS = 1_000;
     // Each crash of an upstream makes suspects of all requests on it, and nearly all of them are seen only once. They
     // have a table of their own so that they cannot displace those that were seen again.
@@ -106,6 +109,20 @@
         return quarantined;
     }
 
+    /** Returns the crashes for which requests are refused, at most {@value #MAX_KEPT_CRASHES} of each request. */
+    public synchronized List<CrashReport> quarantine(long nowMillis) {
+        return seenAgain.values().stream()
+                .filter(suspect -> !suspect.isExpired(nowMillis) && suspect.crashes() >= QUARANTINE_CRASHES)
+                .flatMap(suspect -> suspect.latestCrashes(MAX_KEPT_CRASHES, nowMillis).stream())
+                .toList();
+    }
+
+    /** Whether a crash by a request is known to be cleared. */
+    public synchronized boolean isCleared(long fingerprint, long crash) {
+        CrashSuspect suspect = known(fingerprint);
+        return suspect != null && suspect.isCleared(crash);
+    }
+
     /** Returns the reports that are due to be sent to the other routers: new ones, and some again. */
     public synchronized List<CrashReport> takeReports(long nowMillis) {
         if (empty) {
--- a/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PartSuspects.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/fleet/command/PartSuspects.java
@@ -102,7 +102,7 @@
         boolean isNew;
         if (report.engine().isEmpty()) {
             isNew = clear(report.part(), millis);
-        } else if (millis <= clearedMillis.getOrDefault(report.part(), Long.MIN_VALUE)) {
+        } else if (isCleared(report.part(), millis)) {
             // The other router has missed the clearance.
             isNew = unsentClearances.add(report.part());
         } else {
@@ -142,8 +142,7 @@
         for (PartAtEngine unsent : unsentEnds) {
             EngineEnd end = ends.get(unsent.engine());
             if (end != null && end.parts().contains(unsent.part())) {
-                reports.add(new PartReport(
-                        unsent.part(), OptionalLong.of(unsent.engine()), Math.max(0, nowMillis - end.millis())));
+                reports.add(report(unsent, end, nowMillis));
             }
         }
         for (long part : unsentClearances) {
@@ -155,6 +154,34 @@
         return reports;
     }
 
+    /** Returns the ends of engines for which parts are refused. */
+    public synchronized List<PartReport> quarantine(long nowMillis) {
+        return endsOfQuarantined().stream()
+                .map(end -> report(end, ends.get(end.engine()), nowMillis))
+                .toList();
+    }
+
+    /** Merges ends for which parts were refused before this router started, which can be older than others. */
+    public synchronized void restore(List<PartReport> reports, long nowMillis) {
+        for (PartReport report : reports) {
+            long millis = nowMillis - report.ageMillis();
+            if (report.engine().isPresent() && !isCleared(report.part(), millis)) {
+                addEnd(report.part(), report.engine().getAsLong(), millis);
+            }
+        }
+        updateQuarantine();
+        update(nowMillis);
+    }
+
+    /** Whether a part was answered after an end, as far as it was suspected then. */
+    public synchronized boolean isCleared(long part, long endMillis) {
+        return endMillis <= clearedMillis.getOrDefault(part, Long.MIN_VALUE);
+    }
+
+    private static PartReport report(PartAtEngine at, EngineEnd end, long nowMillis) {
+        return new PartReport(at.part(), OptionalLong.of(at.engine()), Math.max(0, nowMillis - end.millis()));
+    }
+
     private List<PartAtEngine> endsOfQuarantined() {
         return ends.entrySet().stream()
                 .flatMap(entry -> entry.getValue().parts().stream()
@@ -193,6 +220,11 @@
 
     private void update(long nowMillis) {
         ends.values().removeIf(end -> nowMillis - end.millis() >= maxAgeMillis(end));
+        updateQuarantine();
+        empty = ends.isEmpty() && unsentClearances.isEmpty();
+    }
+
+    private void updateQuarantine() {
         Set<Long> quarantined = PartQuarantine.quarantined(ends.values(), answers::speaksFor);
         Map<Long, Long> untilMillis = new HashMap<>();
         for (EngineEnd end : ends.values()) {
@@ -203,7 +235,6 @@
             }
         }
         quarantinedUntilMillis = Map.copyOf(untilMillis);
-        empty = ends.isEmpty() && unsentClearances.isEmpty();
     }
 
     private long maxAgeMillis(EngineEnd end) {
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -61,6 +61,7 @@
     private final RouterRegistry registry;
     private final LoadGossip gossip;
     private final CacheStoreProbe cacheStoreProbe;
+    private final QuarantineKeeper quarantine;
     private final List<HttpClient> clients;
     private final QueuedThreadPool threads;
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -122,7 +123,9 @@
                 settings.vmName(),
                 settings.leaseMillis(),
                 settings.upstreamsCheckFencing());
+        quarantine = new QuarantineKeeper(ports.store(), poller, state, control, control, random, metrics);
         watchdog = new Watchdog(control, metrics);
+        quarantine.watch(watchdog);
         poller.watch(watchdog);
         registry.watch(watchdog);
         gossip.watch(watchdog);
@@ -153,6 +156,7 @@
         node.registry.start();
         node.startGossip();
         node.cacheStoreProbe.start();
+        node.quarantine.start();
         node.poller.start();
         node.rollout.start();
         node.watchdog.start();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetState.java
@@ -2,9 +2,11 @@
 
 import io.agatelane.core.fleet.CacheStore;
 import io.agatelane.core.fleet.ClockReading;
+import io.agatelane.core.fleet.CrashReport;
 import io.agatelane.core.fleet.DurationEvidence;
 import io.agatelane.core.fleet.FleetUpstream;
 import io.agatelane.core.fleet.FleetView;
+import io.agatelane.core.fleet.PartReport;
 import io.agatelane.core.fleet.PeerLoad;
 import io.agatelane.core.fleet.PlacementIndex;
 import io.agatelane.core.fleet.RequestedWeights;
@@ -25,6 +27,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.stream.Collectors;
@@ -67,6 +70,59 @@
         return suspects;
     }
 
+    /** The requests and parts of prompts that are refused, as kept in the store. */
+    QuarantineRecord quarantine(ClockReading now) {
+        List<QuarantineRecord.Crash> crashes = suspects.quarantine(now.monotonicMillis()).stream()
+                .map(report -> new QuarantineRecord.Crash(
+                        report.fingerprint(),
+                        report.crash(),
+                        now.epochMillis() - report.ageMillis(),
+                        report.wasAnswered()))
+                .toList();
+        List<QuarantineRecord.End> ends = partSuspects.quarantine(now.monotonicMillis()).stream()
+                .map(report -> new QuarantineRecord.End(
+                        report.part(), report.engine().orElseThrow(), now.epochMillis() - report.ageMillis()))
+                .toList();
+        return new QuarantineRecord(crashes, ends);
+    }
+
+    /** Refuses the requests and parts of prompts of a record that was kept in the store. */
+    void restoreQuarantine(QuarantineRecord record, ClockReading now) {
+        record.crashes()
+                .forEach(crash -> suspects.mergeReport(
+                        CrashReport.crash(
+                                crash.request(),
+                                crash.crash(),
+                                ageMillis(crash.epochMillis(), now),
+                                crash.wasAnswered()),
+                        now.monotonicMillis()));
+        partSuspects.restore(
+                record.ends().stream()
+                        .map(end -> new PartReport(
+                                end.part(), OptionalLong.of(end.engine()), ageMillis(end.epochMillis(), now)))
+                        .toList(),
+                now.monotonicMillis());
+    }
+
+    /** Returns a record without the events that are cleared, or too old to refuse anything. */
+    QuarantineRecord withoutCleared(QuarantineRecord record, ClockReading now) {
+        return new QuarantineRecord(
+                record.crashes().stream()
+                        .filter(crash -> ageMillis(crash.epochMillis(), now) < CrashSuspects.MAX_RETENTION_MILLIS
+                                && !suspects.isCleared(crash.request(), crash.crash()))
+                        .toList(),
+                record.ends().stream()
+                        .filter(end -> ageMillis(end.epochMillis(), now) < PartSuspects.QUARANTINE_MILLIS
+                                && !partSuspects.isCleared(
+                                        end.part(), now.monotonicMillis() - ageMillis(end.epochMillis(), now)))
+                        .toList());
+    }
+
+    // Wall clocks of routers differ a little.
+    private static long ageMillis(long epochMillis, ClockReading now) {
+        return Math.max(0, now.epochMillis() - epochMillis);
+    }
+
     /** Shared parts of prompts under which engines have ended. */
     public PartSuspects partSuspects() {
         return partSuspects;
