Prove no configuration from a copy to which the store has just gone back

Cause: a router that starts has no era to compare with and takes its first read for a proof, although the copy lacks what the operator wrote since.

Change: the routers keep the newest era in which they have proven the configuration in the store, where an older copy cannot hold it. A router that starts and finds an earlier one proves nothing for 3 s, or until it reads a newer configuration, and is not ready. StoreEraTest starts with the entry of its era, as routers that run in it have written it; its checks are unchanged.

--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/FleetNode.java
@@ -62,6 +62,7 @@
     private final LoadGossip gossip;
     private final CacheStoreProbe cacheStoreProbe;
     private final QuarantineKeeper quarantine;
+    private final EraMarker eraMarker;
     private final List<HttpClient> clients;
     private final QueuedThreadPool threads;
     private final CountDownLatch closed = new CountDownLatch(1);
@@ -124,8 +125,10 @@
                 settings.leaseMillis(),
                 settings.upstreamsCheckFencing());
         quarantine = new QuarantineKeeper(ports.store(), poller, state, control, control, random, metrics);
+        eraMarker = new EraMarker(ports.store(), poller, control, control, random, state::routerCount);
         watchdog = new Watchdog(control, metrics);
         quarantine.watch(watchdog);
+        eraMarker.watch(watchdog);
         poller.watch(watchdog);
         registry.watch(watchdog);
         gossip.watch(watchdog);
@@ -157,6 +160,7 @@
         node.startGossip();
         node.cacheStoreProbe.start();
         node.quarantine.start();
+        node.eraMarker.start();
         node.poller.start();
         node.rollout.start();
         node.watchdog.start();
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/StorePoller.java
@@ -183,6 +183,11 @@
         return requestTimes;
     }
 
+    /** Whether the last read proved that its configuration is the newest one. */
+    boolean isConfigProven() {
+        return configProven && state.snapshot().configVerifiedAt().isPresent();
+    }
+
     /** Era of the store in which it was last read. */
     long era() {
         return content.era();
@@ -420,10 +425,12 @@
                 startEra(read.content().era());
             }
         }
+        boolean mayBeCopy = state.snapshot().configVerifiedAt().isEmpty()
+                && !EraMarker.isProven(read.content().era(), read.routerEntries());
         routerEntries = read.routerEntries();
         content = read.content();
         entryListeners.forEach(listener -> listener.accept(routerEntries));
-        ClockReading provenAt = provenAt(read.view(), verifiedAt);
+        ClockReading provenAt = mayBeCopy ? awaitRewrite(verifiedAt) : provenAt(read.view(), verifiedAt);
         FleetView next = merge(read.view());
         rolloutRecord = rolloutRecord(read.routerEntries());
         requestTimes = requestTimes(read.routerEntries());
@@ -474,6 +481,17 @@
         configUnprovenUntilMillis = nowMillis + CONFIG_REWRITE_MILLIS;
     }
 
+    // A router that starts may read an older copy to which the store has just gone back.
+    private ClockReading awaitRewrite(ClockReading verifiedAt) {
+        LOG.event("config_unproven")
+                .with("era", content.era())
+                .with("max_ms", CONFIG_REWRITE_MILLIS)
+                .info();
+        configProven = false;
+        configUnprovenUntilMillis = timers.monotonicMillis() + CONFIG_REWRITE_MILLIS;
+        return verifiedAt.earlierBy(WITHDRAWN_AGE_MILLIS);
+    }
+
     // After the store went back, a read does not prove that the configuration is the newest one: one that was
     // acknowledged and lost may have revoked a key. It does once the operator has written a newer one, or has had
     // time to.
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StoreEraTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StoreEraTest.java
@@ -17,6 +17,7 @@
 import io.agatelane.node.api.StoreContentId.EntrySetId;
 import io.agatelane.node.api.StoreEra;
 import io.agatelane.node.fakes.FakeControl;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -51,7 +52,8 @@
         state = new FleetState();
         poller = new StorePoller(this, state, control, control, new Random(1), POLL_MILLIS, metrics);
         era = 3;
-        routerEntries = List.of();
+        routerEntries = List.of(new KeyValue(
+                EraMarker.KEY, Long.toString(era).getBytes(StandardCharsets.US_ASCII), StoreEra.qualify(era, 1)));
         upstreams = List.of(upstream("a", 1), upstream("b", 2), upstream("c", 3));
         configure(5, "old", "kept");
         poller.start();
