Check the key of a request against the configuration that is proven

Cause: the account of a request is found when it comes; before each attempt only the age of the newest configuration was checked, which can have taken the key away since.

Change: the configuration whose age is checked is asked for the key, too; 401 where it lacks it. ConfigurationTest.keyThatIsTakenAwayBeforeARetryIsRefused failed before: the request ran a second time and got 500.

--- a/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
@@ -17,6 +17,7 @@
 
     private final ForwardContext context;
     private final String requestId;
+    private final Optional<String> apiKey;
     private final Optional<FleetAccount> account;
     private final Optional<LimitedRequest> limited;
     private boolean wasSent;
@@ -24,20 +25,29 @@
     AccountAdmission(ForwardContext context, CallerRequest caller, Optional<FleetAccount> account, long nowMillis) {
         this.context = context;
         this.requestId = caller.id();
+        this.apiKey = caller.apiKey();
         this.account = account;
         this.limited = account.flatMap(FleetAccount::limit).map(limit -> context.accountLimiter()
                 .arrive(account.get().nameHash(), limit, limit.units(caller.totalTokens()), nowMillis));
     }
 
     /**
-     * Checks that the account's API key may still be used.
+     * Checks that the account's API key may still be used. A configuration can have taken it away since the request came,
+     * and only the one that is proven counts.
      *
-     * @throws AgatelaneException with {@code PLATFORM_UNAVAILABLE} when the configuration is too old to know
+     * @throws AgatelaneException with {@code UNAUTHENTICATED} when the key is not the account's any more, and with
+     *     {@code PLATFORM_UNAVAILABLE} when the configuration is too old to know
      */
-    void checkConfigAge(FleetSnapshot snapshot) {
+    void checkKey(FleetSnapshot snapshot) {
         if (account.isEmpty()) {
             return;
         }
+        boolean isKnown = apiKey.flatMap(key -> snapshot.config().flatMap(config -> config.accountOf(key)))
+                .filter(known -> known.name().equals(account.get().name()))
+                .isPresent();
+        if (!isKnown) {
+            throw new AgatelaneException(FailureType.UNAUTHENTICATED, "the API key was taken away");
+        }
         long age = snapshot.configAgeMillis(context.timers().now());
         if (age > context.settings().maxConfigAgeMillis()) {
             throw new AgatelaneException(
