Reset the connections of orders and writes that are given up

Cause: the connection of an order without an answer was closed regularly, so the operating system went on delivering what had been sent.

Change: the connection of a command is reset when it closes before the response is complete (AbortiveClose); one that was answered closes regularly.

--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/FleetHttpClientsTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/FleetHttpClientsTest.java
@@ -3,7 +3,9 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
 
+import io.agatelane.node.io.http.AbortiveClose;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -54,6 +56,49 @@
         }
     }
 
+    // Guards against an order that was given up and arrives later, when a link that was cut heals: only a reset lets
+    // the
+    // operating system discard what it has not delivered.
+    @Test
+    public void givenUpCommandResetsItsConnection() throws Exception {
+        HttpClient client = FleetHttpClients.forRequests(executor, scheduler, MAX_HEAD_BYTES);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CountDownLatch ended = new CountDownLatch(1);
+            AbortiveClose.onFailure(client.newRequest("http://127.0.0.1:" + server.getLocalPort() + "/order"))
+                    .timeout(300, TimeUnit.MILLISECONDS)
+                    .send(result -> ended.countDown());
+            try (Socket connection = server.accept()) {
+                assertTrue(ended.await(WAIT_SECONDS, TimeUnit.SECONDS));
+                // The end of a regular close would be read as -1.
+                expectThrows(
+                        IOException.class, () -> connection.getInputStream().readAllBytes());
+            }
+        } finally {
+            client.stop();
+        }
+    }
+
+    // Guards against answered commands whose connections are reset, which servers report as failures.
+    @Test
+    public void answeredCommandClosesItsConnectionRegularly() throws Exception {
+        HttpClient client = FleetHttpClients.forRequests(executor, scheduler, MAX_HEAD_BYTES);
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            CountDownLatch ended = new CountDownLatch(1);
+            AbortiveClose.onFailure(client.newRequest("http://127.0.0.1:" + server.getLocalPort() + "/order"))
+                    .send(result -> ended.countDown());
+            try (Socket connection = server.accept()) {
+                connection
+                        .getOutputStream()
+                        .write("HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+                                .getBytes(StandardCharsets.US_ASCII));
+                assertTrue(ended.await(WAIT_SECONDS, TimeUnit.SECONDS));
+                assertTrue(connection.getInputStream().readAllBytes().length > 0, "read to the regular end");
+            }
+        } finally {
+            client.stop();
+        }
+    }
+
     // Guards against a start that loads the certificates of the JDK, which takes a quarter of its processor time.
     @Test
     public void clientsLoadNoCertificates() throws Exception {
