--- a/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/AccountAdmission.java
@@ -3,6 +3,7 @@
 import io.agatelane.core.failure.AgatelaneException;
 import io.agatelane.core.failure.FailureType;
 import io.agatelane.core.fleet.FleetAccount;
+import io.agatelane.core.fleet.Route;
 import io.agatelane.core.limits.AccountLimit;
 import io.agatelane.core.limits.RateDecision;
 import io.agatelane.core.limits.command.AccountRateLimiter.LimitedRequest;
@@ -33,19 +34,19 @@
 
     /**
      * Checks that the account's API key may still be used. A configuration can have taken it away since the request came,
-     * and only the one that is proven counts.
+     * and only the one that is proven counts. Public routes need no key.
      *
      * @throws AgatelaneException with {@code UNAUTHENTICATED} when the key is not the account's any more, and with
      *     {@code PLATFORM_UNAVAILABLE} when the configuration is too old to know
      */
-    void checkKey(FleetSnapshot snapshot) {
+    void checkKey(FleetSnapshot snapshot, Route route) {
         if (account.isEmpty()) {
             return;
         }
         boolean isKnown = apiKey.flatMap(key -> snapshot.config().flatMap(config -> config.accountOf(key)))
                 .filter(known -> known.name().equals(account.get().name()))
                 .isPresent();
-        if (!isKnown) {
+        if (!isKnown && !route.isPublic()) {
             throw new AgatelaneException(FailureType.UNAUTHENTICATED, "the API key was taken away");
         }
         long age = snapshot.configAgeMillis(context.timers().now());
--- a/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/forward/ForwardCall.java
@@ -156,7 +156,7 @@
                 throw new AgatelaneException(FailureType.OVERLOADED, "the deadline leaves no time for another attempt");
             }
             FleetSnapshot snapshot = context.state().snapshot();
-            admission.checkKey(snapshot);
+            admission.checkKey(snapshot, route);
             crashGuard.check(now);
             admission.check(now);
             Set<String> excluded = UpstreamRoom.excluded(context, snapshot, service, caller.id(), tried, body.length);
