--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/CrashSuspectsTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/CrashSuspectsTest.java
@@ -247,6 +247,23 @@
         routers.forEach(router -> assertFalse(router.isQuarantined(REQUEST, afterwards)));
     }
 
+    // Guards against a request of many callers that is refused because all upstreams failed together twice, and the
+    // only
+    // one left in between has answered it.
+    @Test
+    public void requestOfManyCallersIsServedAfterUpstreamsFailedTwice() {
+        CrashSuspects suspects = new CrashSuspects();
+        long millis = 100_000;
+        for (int failure = 0; failure < 4; failure++) {
+            suspects.recordSuccess(REQUEST, millis - 500);
+            for (int upstream = 0; upstream < 3; upstream++) {
+                suspects.recordCrash(REQUEST, 10L * failure + upstream, millis + 100 * upstream);
+            }
+            millis += 12_000;
+            assertFalse(suspects.isQuarantined(REQUEST, millis - 1_000), "after failure " + failure);
+        }
+    }
+
     // Guards against a request that was answered once and crashes upstreams since, for example since their release.
     @Test
     public void requestThatWasAnsweredBeforeIsRefusedAfterThreeSeparateCrashes() {
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/QuarantineKeeperTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/QuarantineKeeperTest.java
@@ -95,6 +95,21 @@
         }
     }
 
+    // Guards against a small fleet whose routers are all killed a second after the third crash, before one has stored
+    // it.
+    @Test
+    public void refusedRequestIsStoredWithinASecondInASmallFleet() {
+        List<Router> all = List.of(new Router(), new Router(), new Router());
+        all.forEach(router -> router.state.setRouterCount(all.size()));
+        control.advance(2_000);
+        all.get(0).crashThrice(REQUEST);
+        control.advance(1_000);
+        kill(all);
+        Router restarted = new Router();
+        control.advance(100);
+        assertTrue(restarted.refuses(REQUEST));
+    }
+
     // Guards against a part of prompts that ends engines again after each restart of all routers.
     @Test
     public void refusedPartStaysRefusedAfterARestartOfAllRouters() {
