--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/PagedDirectory.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/PagedDirectory.java
@@ -26,6 +26,7 @@
     private int upstreams;
     private long version = 1;
     private boolean failing;
+    private int staleUpstreams = -1;
 
     PagedDirectory(FakeControl control, int upstreams, long pageMillis) {
         this.control = control;
@@ -45,14 +46,42 @@
         failing = isFailing;
     }
 
+    /** From now on possibly stale reads and pages list this number of upstreams. */
+    void setStaleUpstreams(int count) {
+        staleUpstreams = count;
+    }
+
+    /** Identifies what newest reads show. */
+    StoreContentId content() {
+        return content(upstreams);
+    }
+
+    private StoreContentId content(int count) {
+        return new StoreContentId(0, new EntrySetId(version, version), entries(0, count));
+    }
+
+    private static EntrySetId entries(int from, int to) {
+        return IntStream.range(from, to)
+                .mapToObj(i -> new EntrySetId(1, i + 1L))
+                .reduce(EntrySetId.NONE, EntrySetId::union);
+    }
+
     @Override
     public CompletableFuture<FleetReadResult> read() {
+        return read(upstreams);
+    }
+
+    @Override
+    public CompletableFuture<FleetReadResult> readPossiblyStale() {
+        return read(staleUpstreams < 0 ? upstreams : staleUpstreams);
+    }
+
+    private CompletableFuture<FleetReadResult> read(int count) {
         CallerLimits limits = new CallerLimits(1_000, 1_000, 1_000, 1_000);
         FleetConfig config = new FleetConfig(version, List.of(), Map.of(), List.of(), Map.of(), false, limits);
         FleetView view = new FleetView(Optional.of(config), upstreams(0, 1), Map.of(), Set.of());
-        StoreContentId content = new StoreContentId(0, new EntrySetId(version, version), new EntrySetId(1, 1));
         return CompletableFuture.completedFuture(
-                new FleetReadResult(view, content, List.of(), upstreams > 1 ? Optional.of("0") : Optional.empty()));
+                new FleetReadResult(view, content(1), List.of(), count > 1 ? Optional.of("0") : Optional.empty()));
     }
 
     @Override
@@ -62,14 +91,15 @@
                     new AgatelaneException(FailureType.PLATFORM_UNAVAILABLE, "the page is not served"));
         }
         int index = Integer.parseInt(after) + 1;
+        int count = mayBeStale && staleUpstreams >= 0 ? staleUpstreams : upstreams;
         CompletableFuture<DirectoryPage> page = new CompletableFuture<>();
         control.after(
                 pageMillis,
                 () -> page.complete(new DirectoryPage(
                         upstreams(index, index + 1),
-                        new EntrySetId(1, index),
+                        entries(index, index + 1),
                         0,
-                        index + 1 < upstreams ? Optional.of(after(index)) : Optional.empty())));
+                        index + 1 < count ? Optional.of(after(index)) : Optional.empty())));
         return page;
     }
 
--- a/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
+++ b/agatelane-node/src/test/java/io/agatelane/node/fleet/StorePollerTest.java
@@ -93,6 +93,31 @@
         assertEquals(state.snapshot().view().upstreams().size(), 6);
     }
 
+    // Guards against upstreams of a possibly stale scan that are used although the relay has read other ones.
+    @Test
+    public void staleScanThatTheRelayDoesNotConfirmIsNotUsed() {
+        FakeControl control = new FakeControl();
+        PagedDirectory source = new PagedDirectory(control, 5, 5);
+        FleetState state = new FleetState();
+        StorePoller poller =
+                new StorePoller(source, state, control, control, new Random(1), POLL_MILLIS, new MetricRegistry());
+        poller.start();
+        control.advance(200);
+        assertEquals(state.snapshot().view().upstreams().size(), 5);
+        source.setStaleUpstreams(3);
+        for (int i = 0; i < 60; i++) {
+            poller.compareWithRelay(source.content(), control.now());
+            control.advance(200);
+            assertEquals(state.snapshot().view().upstreams().size(), 5, "at step " + i);
+        }
+        source.setUpstreams(6);
+        for (int i = 0; i < 15; i++) {
+            poller.compareWithRelay(source.content(), control.now());
+            control.advance(200);
+        }
+        assertEquals(state.snapshot().view().upstreams().size(), 6);
+    }
+
     // Guards against routers that cost the store several rejected calls a second each while it turns them away, and
     // against one that notices late that the store is back.
     @Test
