--- a/agatelane-node/src/main/java/io/agatelane/node/util/BoundedLogHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/util/BoundedLogHandler.java
@@ -53,21 +53,31 @@
     private void write() {
         try {
             while (!Thread.currentThread().isInterrupted()) {
-                StringBuilder batch = new StringBuilder(lines.take());
-                for (String line = lines.poll(); line != null; line = lines.poll()) {
-                    batch.append(line);
-                }
-                long dropped = droppedLines.getAndSet(0);
-                if (dropped > 0) {
-                    batch.append("event=log_lines_dropped count=")
-                            .append(dropped)
-                            .append('\n');
-                }
-                out.print(batch);
-                out.flush();
+                writeBatch(lines.take());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
     }
+
+    // The thread has to outlast an exhausted heap: without it the process logs nothing any more.
+    private void writeBatch(String first) {
+        long taken = 1;
+        try {
+            StringBuilder batch = new StringBuilder(first);
+            for (String line = lines.poll(); line != null; line = lines.poll()) {
+                taken++;
+                batch.append(line);
+            }
+            long dropped = droppedLines.getAndSet(0);
+            if (dropped > 0) {
+                batch.append("event=log_lines_dropped count=").append(dropped).append('\n');
+            }
+            out.print(batch);
+            out.flush();
+        } catch (RuntimeException | Error e) {
+            // Logging this failure would need memory as well; the lines are reported as dropped with the next batch.
+            droppedLines.addAndGet(taken);
+        }
+    }
 }
