--- a/agatelane-core/src/main/java/io/agatelane/core/poison/SuspectTable.java
+++ b/agatelane-core/src/main/java/io/agatelane/core/poison/SuspectTable.java
@@ -28,6 +28,8 @@
         }
     };
 
+    private final AnswerHistory<String> answers = new AnswerHistory<>();
+
     /**
      * Crashes of one fingerprint.
      *
@@ -48,8 +50,6 @@
         }
     }
 
-    private final AnswerHistory<String> answers = new AnswerHistory<>();
-
     /** When requests were answered, by fingerprint. */
     public AnswerHistory<String> answers() {
         return answers;
--- a/agatelane-node/src/main/java/io/agatelane/node/fleet/RouterRegistry.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/fleet/RouterRegistry.java
@@ -37,9 +37,9 @@
     // Spreads the writes of the routers whose entries a store has lost: two calls of each.
     private static final long REWRITE_JITTER_MILLIS = 2_000;
     // A router notices with its next renewal that its lease is gone, and a failed registration is repeated once.
+    private static final long REMEMBERED_MILLIS = 2 * RENEW_MILLIS + 2 * REWRITE_JITTER_MILLIS;
     // Longer than the pause between two calls and the calls themselves, and shorter than the lease.
     private static final long MAX_SILENT_MILLIS = 14_000;
-    private static final long REMEMBERED_MILLIS = 2 * RENEW_MILLIS + 2 * REWRITE_JITTER_MILLIS;
     private static final long NO_LEASE = 0;
     private static final String SEPARATOR = ":";
 
--- a/agatelane-node/src/main/java/io/agatelane/node/util/BoundedLogHandler.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/util/BoundedLogHandler.java
@@ -63,13 +63,14 @@
     // The thread has to outlast an exhausted heap: without it the process logs nothing any more.
     private void writeBatch(String first) {
         long taken = 1;
+        long dropped = 0;
         try {
             StringBuilder batch = new StringBuilder(first);
             for (String line = lines.poll(); line != null; line = lines.poll()) {
                 taken++;
                 batch.append(line);
             }
-            long dropped = droppedLines.getAndSet(0);
+            dropped = droppedLines.getAndSet(0);
             if (dropped > 0) {
                 batch.append("event=log_lines_dropped count=").append(dropped).append('\n');
             }
@@ -77,7 +78,7 @@
             out.flush();
         } catch (RuntimeException | Error e) {
             // Logging this failure would need memory as well; the lines are reported as dropped with the next batch.
-            droppedLines.addAndGet(taken);
+            droppedLines.addAndGet(taken + dropped);
         }
     }
 }
