--- a/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
+++ b/agatelane-node/src/main/java/io/agatelane/node/io/http/CallerEndPoint.java
@@ -167,7 +167,8 @@
     private int discard() throws IOException {
         ByteBuffer bytes = BufferUtil.allocate(DISCARD_BUFFER_BYTES);
         int filled = super.fill(bytes);
-        while (filled > 0) {
+        // A caller can write faster than this reads.
+        while (filled > 0 && discardedBytes <= MAX_DISCARDED_BYTES) {
             discardedBytes += filled;
             BufferUtil.clear(bytes);
             filled = super.fill(bytes);
