--- a/agatelane-cli/src/test/java/io/agatelane/cli/soak/PopularRequestTest.java
+++ b/agatelane-cli/src/test/java/io/agatelane/cli/soak/PopularRequestTest.java
@@ -39,8 +39,7 @@
     }
 
     // Guards against a sound request that all routers refuse, and that is never cleared, because it ran on every
-    // upstream
-    // when these failed together.
+    // upstream when these failed together.
     @Test(dataProvider = "silences")
     public void popularRequestIsServedAfterAllUpstreamsFailed(String failure, long silentMillis) throws Exception {
         Path directory = Files.createDirectories(Path.of("target", "soak", "popular-" + failure));
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/CrashSuspectsTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/CrashSuspectsTest.java
@@ -162,8 +162,7 @@
     }
 
     // Guards against a single crash that counts several times because several routers have seen it, or have learned of
-    // it
-    // in several ways.
+    // it in several ways.
     @Test
     public void oneCrashCountsOnceWhoeverHasSeenIt() {
         CrashSuspects first = new CrashSuspects();
@@ -248,8 +247,7 @@
     }
 
     // Guards against a request of many callers that is refused because all upstreams failed together twice, and the
-    // only
-    // one left in between has answered it.
+    // only one left in between has answered it.
     @Test
     public void requestOfManyCallersIsServedAfterUpstreamsFailedTwice() {
         CrashSuspects suspects = new CrashSuspects();
--- a/agatelane-core/src/test/java/io/agatelane/core/fleet/PartSuspectsTest.java
+++ b/agatelane-core/src/test/java/io/agatelane/core/fleet/PartSuspectsTest.java
@@ -138,8 +138,8 @@
     }
 
     // Plays a fleet of seven routers and eight engines: one prompt of 25 has the deadly part, engines also end for
-    // other
-    // reasons, one datagram of 20 is lost. Counting the ends under each part alone would refuse the first part of all.
+    // other reasons, one datagram of 20 is lost. Counting the ends under each part alone would refuse the first part
+    // of all.
     @Test(dataProvider = "seeds")
     public void deadlyPartIsFoundAmongSoundTraffic(int seed) {
         Fleet fleet = new Fleet(seed);
